Serve a request end to end with real processes

Cause: an empty repository; everything else hangs on a whole path.

Ruled out: typify for the schema, since it adds `skip_serializing_if`, with which postcard cannot decode; a generator of a few hundred lines on quote and prettyplease writes plain fields. async_h1::accept for callers, since it drops pipelined requests and closes on a malformed head without an answer; the entry checks the head first and decodes request by request.

Change: workspace with schema, wire, platform, core, daemon, entry, side, stand-ins, a demonstration and five integration tests.

Conclusion: late binding at the side carries whole, streamed and plain calls.

--- /dev/null
+++ b/almondwell/src/answer.rs
@@ -0,0 +1,33 @@
+//! An upstream's answer on its way to the caller.
+
+use crate::refusal::{REQUEST_HEADER, VERDICT_HEADER};
+use almondwell_daemon::Pipe;
+use almondwell_schema::{Head, RequestId, Verdict};
+use http_types::{Body, Response, StatusCode};
+
+/// An upstream's answer.
+pub(crate) enum Answer {
+    /// The rest of the body is still being made.
+    Stream(Head, Pipe),
+    /// The body has been received whole.
+    Whole(Head, Vec<u8>),
+}
+
+impl Answer {
+    /// The answer over HTTP.
+    pub(crate) fn response(self, request: RequestId) -> Response {
+        let (head, body) = match self {
+            Self::Stream(head, pipe) => (head, Body::from_reader(pipe, None)),
+            Self::Whole(head, bytes) => (head, Body::from_bytes(bytes)),
+        };
+        let status = StatusCode::try_from(head.status).unwrap_or(StatusCode::BadGateway);
+        let mut response = Response::new(status);
+        response.set_body(body);
+        for header in &head.headers {
+            response.insert_header(&*header.name, &*header.value);
+        }
+        response.insert_header(VERDICT_HEADER, Verdict::Ran.label());
+        response.insert_header(REQUEST_HEADER, format!("{request:032x}"));
+        response
+    }
+}
--- /dev/null
+++ b/almondwell/src/call.rs
@@ -0,0 +1,160 @@
+//! Runs a granted request at a side.
+
+use crate::answer::Answer;
+use crate::entry::Entry;
+use crate::job::Job;
+use crate::refusal::Refusal;
+use almondwell_daemon::{Piece, Pipe};
+use almondwell_schema::{Frame, Head, Run, Ticket, Verdict};
+use almondwell_wire::Connection;
+use async_std::channel::Sender;
+use async_std::future::timeout;
+use async_std::task;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest answer that is not a stream, in bytes.
+const MAX_ANSWER: usize = 16 << 20;
+
+/// Sends `job` to `side` and reads its answer, or the head of it for a stream.
+pub(crate) async fn run(
+    entry: &Entry,
+    job: &Job,
+    side: SocketAddr,
+    ticket: Ticket,
+) -> Result<Answer, Refusal> {
+    let connect = Connection::open(side, entry.seal.clone());
+    let mut connection = match timeout(CONNECT_TIMEOUT, connect).await {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(error)) => {
+            return Err(Refusal::broken(
+                Verdict::NotRun,
+                format!("no connection to a side: {error}"),
+            ));
+        }
+        Err(_) => {
+            return Err(Refusal::broken(
+                Verdict::NotRun,
+                "no connection to a side in time",
+            ));
+        }
+    };
+    let left = job.deadline.saturating_sub(entry.clock.now());
+    // A frame that was not written whole is never run.
+    if let Err(error) = connection.write(&frame(job, ticket, left).into()).await {
+        return Err(Refusal::broken(
+            Verdict::NotRun,
+            format!("a side could not be sent the request: {error}"),
+        ));
+    }
+    match timeout(left, read(connection)).await {
+        Ok(result) => result,
+        Err(_) => Err(Refusal::broken(
+            Verdict::MayHaveRun,
+            "the deadline passed while the request ran",
+        )),
+    }
+}
+
+fn frame(job: &Job, ticket: Ticket, left: Duration) -> Run {
+    Run {
+        request: job.request,
+        ticket,
+        service: job.service.name.clone(),
+        class: job.class_name.clone(),
+        workspace: job.workspace_name.clone(),
+        tier: job.class.tier,
+        idempotent: job.class.idempotent,
+        key: job.key.clone(),
+        fingerprint: job.fingerprint,
+        left,
+        path: job.path.clone(),
+        headers: job.headers.clone(),
+        body: job.body.clone(),
+    }
+}
+
+async fn read(mut connection: Connection) -> Result<Answer, Refusal> {
+    let head = match next(&mut connection).await? {
+        Frame::Head(head) => head,
+        frame => return Err(unexpected(&frame)),
+    };
+    if is_stream(&head) {
+        let (sender, pipe) = Pipe::new();
+        task::spawn(async move {
+            let _ = pump(connection, &sender).await;
+        });
+        return Ok(Answer::Stream(head, pipe));
+    }
+    let mut body = Vec::new();
+    loop {
+        match next(&mut connection).await? {
+            Frame::Chunk(chunk) => body.extend_from_slice(&chunk.bytes),
+            Frame::End(end) if end.length == body.len() as u64 => {
+                return Ok(Answer::Whole(head, body));
+            }
+            frame => return Err(unexpected(&frame)),
+        }
+        if body.len() > MAX_ANSWER {
+            return Err(Refusal::broken(Verdict::Ran, "the answer is too long"));
+        }
+    }
+}
+
+async fn next(connection: &mut Connection) -> Result<Frame, Refusal> {
+    match connection.read().await {
+        Ok(Some(Frame::Fault(fault))) => Err(Refusal::broken(fault.verdict, fault.detail)),
+        Ok(Some(frame)) => Ok(frame),
+        Ok(None) => Err(Refusal::broken(
+            Verdict::MayHaveRun,
+            "the side closed the connection",
+        )),
+        Err(error) => Err(Refusal::broken(
+            Verdict::MayHaveRun,
+            format!("the side's answer broke off: {error}"),
+        )),
+    }
+}
+
+fn unexpected(frame: &Frame) -> Refusal {
+    let name = match frame {
+        Frame::Chunk(_) => "chunk",
+        Frame::End(_) => "end",
+        Frame::Fault(_) => "fault",
+        Frame::Head(_) => "head",
+        Frame::Run(_) => "run",
+    };
+    Refusal::broken(
+        Verdict::MayHaveRun,
+        format!("the side sent an unexpected {name}"),
+    )
+}
+
+fn is_stream(head: &Head) -> bool {
+    head.headers.iter().any(|header| {
+        &*header.name == "content-type" && header.value.starts_with("text/event-stream")
+    })
+}
+
+/// Passes the body on until its end; anything else breaks the caller's stream off.
+async fn pump(mut connection: Connection, sender: &Sender<Piece>) -> Result<(), ()> {
+    let mut length = 0;
+    loop {
+        let piece = match connection.read().await {
+            Ok(Some(Frame::Chunk(chunk))) => chunk.bytes,
+            Ok(Some(Frame::End(end))) if end.length == length => Vec::new(),
+            Ok(_) | Err(_) => {
+                let broken = Err(io::ErrorKind::ConnectionAborted.into());
+                return sender.send(broken).await.map_err(|_| ());
+            }
+        };
+        let is_end = piece.is_empty();
+        length += piece.len() as u64;
+        sender.send(Ok(piece)).await.map_err(|_| ())?;
+        if is_end {
+            return Ok(());
+        }
+    }
+}
--- /dev/null
+++ b/almondwell/src/dispatch.rs
@@ -0,0 +1,129 @@
+//! Late binding: reserves places at a few sides and runs at the first that grants.
+
+use crate::answer::Answer;
+use crate::call;
+use crate::entry::Entry;
+use crate::job::Job;
+use crate::refusal::Refusal;
+use crate::waiters::Waiter;
+use almondwell_core::sample;
+use almondwell_schema::{Datagram, Instance, Reserve, Ticket, Verdict, Withdraw};
+use async_std::future::timeout;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time without a word from any asked side after which others are asked.
+const SILENCE: Duration = Duration::from_millis(100);
+const ATTEMPTS: usize = 3;
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Serves `job`; drops of the future withdraw it.
+pub(crate) async fn dispatch(entry: &Entry, job: &Job) -> Result<Answer, Refusal> {
+    let mut last = Refusal::busy("no upstream granted a place in time", RETRY_AFTER);
+    for _ in 0..ATTEMPTS {
+        let (side, ticket) = reserve(entry, job).await?;
+        match call::run(entry, job, side, ticket).await {
+            Ok(answer) => return Ok(answer),
+            Err(refusal) => {
+                let may_repeat = refusal.verdict == Verdict::NotRun || job.class.idempotent;
+                if !may_repeat {
+                    return Err(refusal);
+                }
+                last = refusal;
+            }
+        }
+    }
+    Err(last)
+}
+
+async fn reserve(entry: &Entry, job: &Job) -> Result<(SocketAddr, Ticket), Refusal> {
+    let waiter = entry.waiters.open(job.request);
+    let mut asked = Asked {
+        entry,
+        request: job.request,
+        sides: Vec::new(),
+    };
+    loop {
+        let left = job.deadline.saturating_sub(entry.clock.now());
+        if left.is_zero() {
+            let message = "the deadline passed while the request waited for a place";
+            return Err(Refusal::busy(message, RETRY_AFTER));
+        }
+        let sides = entry.sides.load();
+        let pool = sides.pool(&job.service.pool);
+        if pool.is_empty() {
+            let message = format!("no upstream of the pool `{}` is known", job.service.pool);
+            return Err(Refusal::busy(message, RETRY_AFTER));
+        }
+        ask(entry, job, pool, &mut asked, left).await;
+        if let Some((side, ticket)) = wait(&waiter, left, asked.sides.len()).await {
+            asked.sides.retain(|asked| *asked != side);
+            return Ok((side, ticket));
+        }
+    }
+}
+
+async fn ask(entry: &Entry, job: &Job, pool: &[Instance], asked: &mut Asked<'_>, left: Duration) {
+    let count = entry.settings.samples.into();
+    let chosen = sample(&mut rand::rng(), pool.len(), count);
+    let waited = entry.clock.now().saturating_sub(job.arrived);
+    for index in chosen {
+        let address = pool[index].address;
+        let reserve = Reserve {
+            request: job.request,
+            service: job.service.name.clone(),
+            class: job.class_name.clone(),
+            workspace: job.workspace_name.clone(),
+            tier: job.class.tier,
+            priority: job.class.priority,
+            share: job.workspace.share,
+            left,
+            target: job.class.first_token.saturating_sub(waited),
+            prefix: job.prefix,
+            fingerprint: job.fingerprint,
+        };
+        entry.send(reserve.into(), address).await;
+        if !asked.sides.contains(&address) {
+            asked.sides.push(address);
+        }
+    }
+}
+
+/// Waits for a grant; `None` when other sides should be asked.
+async fn wait(waiter: &Waiter<'_>, left: Duration, asked: usize) -> Option<(SocketAddr, Ticket)> {
+    let mut limit = SILENCE.min(left);
+    let mut refused = 0;
+    loop {
+        let (datagram, from) = timeout(limit, waiter.inbox.recv()).await.ok()?.ok()?;
+        match datagram {
+            Datagram::Grant(grant) => return Some((from, grant.ticket)),
+            Datagram::Queued(_) => limit = left,
+            Datagram::Refuse(_) => {
+                refused += 1;
+                if refused >= asked {
+                    async_std::task::sleep(SILENCE.min(left)).await;
+                    return None;
+                }
+            }
+            Datagram::Reserve(_) | Datagram::Withdraw(_) => {}
+        }
+    }
+}
+
+/// Sides that hold a reservation; they are told when it is given up.
+struct Asked<'a> {
+    entry: &'a Entry,
+    request: u128,
+    sides: Vec<SocketAddr>,
+}
+
+impl Drop for Asked<'_> {
+    fn drop(&mut self) {
+        for side in &self.sides {
+            let withdraw = Withdraw {
+                request: self.request,
+            };
+            self.entry.send_now(&withdraw.into(), *side);
+        }
+    }
+}
--- /dev/null
+++ b/almondwell/src/head.rs
@@ -0,0 +1,133 @@
+//! Checks a request's head before the HTTP library sees it.
+//!
+//! `async-h1` closes without an answer on a malformed head, takes two unequal lengths and any
+//! `Transfer-Encoding` that ends in `chunked`; a balancer in front may see the request end elsewhere.
+
+use crate::refusal::Refusal;
+use http_types::StatusCode;
+
+/// Longest head in bytes.
+pub(crate) const MAX_HEAD: usize = 16 << 10;
+/// Longest body in bytes.
+pub(crate) const MAX_BODY: usize = 4 << 20;
+
+const MAX_HEADERS: usize = 64;
+const METHODS: [&str; 3] = ["DELETE", "GET", "POST"];
+
+/// How a request goes on after its head.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Head {
+    pub(crate) body: Body,
+    pub(crate) expects_continue: bool,
+    pub(crate) keep_alive: bool,
+    /// Length of the head in bytes, with the empty line.
+    pub(crate) length: usize,
+}
+
+/// Length of a request's body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Body {
+    Chunked,
+    Length(usize),
+}
+
+/// Checks the head at the start of `bytes`; `None` while it is incomplete.
+pub(crate) fn check(bytes: &[u8]) -> Result<Option<Head>, Refusal> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    let length = match request.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) if bytes.len() < MAX_HEAD => return Ok(None),
+        Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
+            return Err(too_long());
+        }
+        Err(error) => return Err(bad(format!("the request's head is malformed: {error}"))),
+    };
+    if length > MAX_HEAD {
+        return Err(too_long());
+    }
+    if request.version != Some(1) {
+        let message = "expected HTTP/1.1";
+        return Err(Refusal::invalid(
+            StatusCode::HttpVersionNotSupported,
+            "version",
+            message,
+        ));
+    }
+    let method = request.method.unwrap_or_default();
+    if !METHODS.contains(&method) {
+        let message = format!("unknown method `{method}`; expected DELETE, GET or POST");
+        return Err(Refusal::invalid(
+            StatusCode::NotImplemented,
+            "method",
+            message,
+        ));
+    }
+    let values = |name: &str| -> Vec<&[u8]> {
+        request
+            .headers
+            .iter()
+            .filter(|header| header.name.eq_ignore_ascii_case(name))
+            .map(|header| header.value)
+            .collect()
+    };
+    if values("Host").len() != 1 {
+        return Err(bad("expected one `Host` header"));
+    }
+    let is = |name: &str, wanted: &str| {
+        values(name)
+            .iter()
+            .any(|value| value.eq_ignore_ascii_case(wanted.as_bytes()))
+    };
+    Ok(Some(Head {
+        body: body(&values("Content-Length"), &values("Transfer-Encoding"))?,
+        expects_continue: is("Expect", "100-continue"),
+        keep_alive: !is("Connection", "close"),
+        length,
+    }))
+}
+
+fn body(lengths: &[&[u8]], encodings: &[&[u8]]) -> Result<Body, Refusal> {
+    match (lengths, encodings) {
+        ([], []) => Ok(Body::Length(0)),
+        ([], [encoding]) if encoding.eq_ignore_ascii_case(b"chunked") => Ok(Body::Chunked),
+        ([], _) => Err(Refusal::invalid(
+            StatusCode::NotImplemented,
+            "transfer_encoding",
+            "expected `Transfer-Encoding: chunked` or none",
+        )),
+        ([length], []) => parse_length(length),
+        _ => Err(bad(
+            "expected one `Content-Length` or `Transfer-Encoding: chunked`, not both",
+        )),
+    }
+}
+
+fn parse_length(value: &[u8]) -> Result<Body, Refusal> {
+    let text = std::str::from_utf8(value).unwrap_or_default();
+    if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(bad("`Content-Length` is not a number"));
+    }
+    match text.parse() {
+        Ok(length) if length <= MAX_BODY => Ok(Body::Length(length)),
+        Ok(_) | Err(_) => Err(body_too_long()),
+    }
+}
+
+pub(crate) fn body_too_long() -> Refusal {
+    let message = format!("the body is longer than {MAX_BODY} bytes");
+    Refusal::invalid(StatusCode::PayloadTooLarge, "body_too_long", message)
+}
+
+fn bad(message: impl Into<Box<str>>) -> Refusal {
+    Refusal::invalid(StatusCode::BadRequest, "bad_request", message)
+}
+
+fn too_long() -> Refusal {
+    let message = format!("the head is longer than {MAX_HEAD} bytes or {MAX_HEADERS} headers");
+    Refusal::invalid(
+        StatusCode::RequestHeaderFieldsTooLarge,
+        "head_too_long",
+        message,
+    )
+}
--- /dev/null
+++ b/almondwell/src/subcommand.rs
@@ -0,0 +1,52 @@
+//! The commands of `almondwell`.
+
+use crate::{check, publish, report, serve, status};
+use almondwell_schema::nearest;
+use eyre::{Result, bail};
+use lexopt::Parser;
+use lexopt::prelude::{Long, Short, Value, ValueExt};
+use std::process::ExitCode;
+
+const HELP: &str = "\
+Router for language-model traffic with service levels and priorities
+
+usage: almondwell COMMAND [FLAGS]
+
+commands:
+  check FILES      checks service files
+  publish FILES    checks service files and puts them in force
+  report           prints the service-level burn
+  serve            runs an entry
+  status           prints the configuration in force at each instance
+";
+
+const COMMANDS: [&str; 5] = ["check", "publish", "report", "serve", "status"];
+
+/// Runs the command that the command line names.
+pub(crate) fn run() -> Result<ExitCode> {
+    let mut parser = Parser::from_env();
+    let name = match parser.next()? {
+        Some(Value(name)) => name.string()?,
+        Some(Long("help") | Short('h')) => {
+            print!("{HELP}");
+            return Ok(ExitCode::SUCCESS);
+        }
+        Some(Long("version") | Short('V')) => {
+            println!("almondwell {}", env!("CARGO_PKG_VERSION"));
+            return Ok(ExitCode::SUCCESS);
+        }
+        Some(argument) => return Err(argument.unexpected().into()),
+        None => bail!("no command; see --help"),
+    };
+    match name.as_str() {
+        "check" => check::run(&mut parser),
+        "publish" => publish::run(&mut parser),
+        "report" => report::run(&mut parser),
+        "serve" => serve::run(&mut parser),
+        "status" => status::run(&mut parser),
+        other => match nearest(other, COMMANDS.into_iter()) {
+            Some(command) => bail!("unknown command `{other}`; did you mean `{command}`?"),
+            None => bail!("unknown command `{other}`; see --help"),
+        },
+    }
+}
--- /dev/null
+++ b/core/src/lib.rs
@@ -0,0 +1,7 @@
+//! Decisions of almondwell with no I/O: callers pass in the time and the randomness.
+
+mod queue;
+mod sampler;
+
+pub use queue::{Answer, Offer, Queue, Reservation};
+pub use sampler::sample;
--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,17 @@
+//! What almondwell's daemons share: settings, clock, signals, logs and pages.
+
+mod arguments;
+mod clock;
+mod gone;
+mod logs;
+mod pages;
+mod pipe;
+mod stop;
+
+pub use arguments::{Command, parse};
+pub use clock::Clock;
+pub use gone::gone;
+pub use logs::set_up as set_up_logs;
+pub use pages::metrics;
+pub use pipe::{Piece, Pipe};
+pub use stop::signals;
--- /dev/null
+++ b/fakes/src/engine.rs
@@ -0,0 +1,246 @@
+//! Engine with a batch limit, a token stream and cancel.
+
+use crate::server::{Flags, address, flag, json, listen, status};
+use almondwell_daemon::{Piece, Pipe};
+use async_std::channel::Sender;
+use async_std::task;
+use eyre::Result;
+use http_types::{Body, Request, Response, StatusCode};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// Command line of the engine.
+#[derive(Clone)]
+pub struct Settings {
+    /// Address it listens on.
+    pub address: SocketAddr,
+    /// Requests it runs at once.
+    pub batch: u64,
+    /// Time to the first token.
+    pub prefill: Duration,
+    /// Time between tokens.
+    pub token: Duration,
+}
+
+impl Settings {
+    /// Reads the flags.
+    pub fn read(flags: &Flags) -> Result<Self> {
+        Ok(Self {
+            address: address(flags, "address")?,
+            batch: flag(flags, "batch", 16)?,
+            prefill: Duration::from_millis(flag(flags, "prefill-ms", 20)?),
+            token: Duration::from_millis(flag(flags, "token-ms", 5)?),
+        })
+    }
+}
+
+/// Faults that the engine is told to make, `POST /control`.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default)]
+struct Faults {
+    /// Ends the process at the next request.
+    crash: bool,
+    /// Factor on all times; 0 and 1 both mean none.
+    slow: u32,
+    /// Makes no tokens.
+    stall: bool,
+}
+
+struct Engine {
+    cancelled: AtomicU64,
+    faults: Mutex<Faults>,
+    finished: AtomicU64,
+    running: AtomicU64,
+    settings: Settings,
+    started: AtomicU64,
+}
+
+impl Engine {
+    fn faults(&self) -> Faults {
+        *self.faults.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn pause(&self, time: Duration) {
+        task::sleep(time * self.faults().slow.max(1)).await;
+        while self.faults().stall {
+            task::sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+/// What a request asks for; `metadata.tokens` stands for the length that no one knows beforehand.
+#[derive(Deserialize)]
+struct Prompt {
+    #[serde(default)]
+    messages: Vec<Value>,
+    #[serde(default)]
+    metadata: Metadata,
+    model: String,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Default, Deserialize)]
+struct Metadata {
+    #[serde(default)]
+    crash: bool,
+    tokens: Option<u64>,
+}
+
+const DEFAULT_TOKENS: u64 = 16;
+
+/// Serves until the process ends.
+pub async fn serve(settings: Settings) -> Result<()> {
+    let address = settings.address;
+    let engine = Arc::new(Engine {
+        cancelled: AtomicU64::new(0),
+        faults: Mutex::default(),
+        finished: AtomicU64::new(0),
+        running: AtomicU64::new(0),
+        settings,
+        started: AtomicU64::new(0),
+    });
+    listen(address, move |request| {
+        let engine = engine.clone();
+        async move { handle(engine, request).await }
+    })
+    .await
+}
+
+async fn handle(engine: Arc<Engine>, mut request: Request) -> http_types::Result<Response> {
+    match request.url().path() {
+        "/control" => {
+            let faults = request.body_json().await?;
+            *engine.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
+            Ok(status(StatusCode::Ok))
+        }
+        "/health" => Ok(status(StatusCode::Ok)),
+        "/records" => Ok(json(&json!({
+            "cancelled": engine.cancelled.load(Ordering::Relaxed),
+            "finished": engine.finished.load(Ordering::Relaxed),
+            "running": engine.running.load(Ordering::Relaxed),
+            "started": engine.started.load(Ordering::Relaxed),
+        }))),
+        "/v1/chat/completions" => complete(engine, request).await,
+        _ => Ok(status(StatusCode::NotFound)),
+    }
+}
+
+async fn complete(engine: Arc<Engine>, mut request: Request) -> http_types::Result<Response> {
+    let prompt: Prompt = request.body_json().await?;
+    if engine.faults().crash || prompt.metadata.crash {
+        std::process::exit(86);
+    }
+    if prompt.stream {
+        let (sender, pipe) = Pipe::new();
+        let text = text(&prompt);
+        let model = prompt.model.clone();
+        task::spawn(async move {
+            let _ = stream(&engine, &sender, &model, &text, &prompt).await;
+        });
+        let mut response = Response::new(StatusCode::Ok);
+        response.set_body(Body::from_reader(pipe, None));
+        response.insert_header("Content-Type", "text/event-stream");
+        return Ok(response);
+    }
+    let run = Run::start(&engine).await;
+    engine.pause(engine.settings.prefill).await;
+    let words = text(&prompt);
+    for _ in &words {
+        engine.pause(engine.settings.token).await;
+    }
+    run.finish();
+    Ok(json(&json!({
+        "id": "chatcmpl",
+        "object": "chat.completion",
+        "model": prompt.model,
+        "choices": [{"index": 0, "finish_reason": "stop",
+            "message": {"role": "assistant", "content": words.concat()}}],
+        "usage": {"completion_tokens": words.len()},
+    })))
+}
+
+/// Tokens that depend on nothing but the prompt, so that answers can be compared.
+fn text(prompt: &Prompt) -> Vec<String> {
+    let seed = json!(prompt.messages).to_string();
+    let hash = seed.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    let count = prompt.metadata.tokens.unwrap_or(DEFAULT_TOKENS);
+    (0..count)
+        .map(|index| format!("{:08x}-{index} ", hash >> 32))
+        .collect()
+}
+
+async fn stream(
+    engine: &Engine,
+    sender: &Sender<Piece>,
+    model: &str,
+    words: &[String],
+    prompt: &Prompt,
+) -> Result<()> {
+    let run = Run::start(engine).await;
+    debug_assert!(prompt.stream);
+    engine.pause(engine.settings.prefill).await;
+    for word in words {
+        engine.pause(engine.settings.token).await;
+        let event = json!({"object": "chat.completion.chunk", "model": model,
+            "choices": [{"index": 0, "delta": {"content": word}}]});
+        sender
+            .send(Ok(format!("data: {event}\n\n").into_bytes()))
+            .await?;
+    }
+    sender.send(Ok(b"data: [DONE]\n\n".to_vec())).await?;
+    run.finish();
+    sender.send(Ok(Vec::new())).await?;
+    Ok(())
+}
+
+/// A request in the batch; one that is dropped unfinished counts as cancelled.
+struct Run<'a> {
+    engine: &'a Engine,
+    is_finished: bool,
+}
+
+impl<'a> Run<'a> {
+    async fn start(engine: &'a Engine) -> Self {
+        while !engine.try_enter() {
+            task::sleep(Duration::from_millis(2)).await;
+        }
+        engine.started.fetch_add(1, Ordering::Relaxed);
+        Self {
+            engine,
+            is_finished: false,
+        }
+    }
+
+    fn finish(mut self) {
+        self.is_finished = true;
+    }
+}
+
+impl Engine {
+    fn try_enter(&self) -> bool {
+        self.running
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |running| {
+                (running < self.settings.batch).then_some(running + 1)
+            })
+            .is_ok()
+    }
+}
+
+impl Drop for Run<'_> {
+    fn drop(&mut self) {
+        self.engine.running.fetch_sub(1, Ordering::AcqRel);
+        let counter = if self.is_finished {
+            &self.engine.finished
+        } else {
+            &self.engine.cancelled
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/fakes/src/lib.rs
@@ -0,0 +1,10 @@
+//! Stand-ins for the systems that almondwell serves, and a builder that starts whole sets of processes.
+
+pub mod engine;
+pub mod http;
+pub mod plain;
+pub mod platform;
+pub mod process;
+pub mod proxy;
+pub mod server;
+pub mod set;
--- /dev/null
+++ b/fakes/src/process.rs
@@ -0,0 +1,123 @@
+//! Child processes of tests and measurements.
+
+use eyre::{Result, WrapErr, bail, ensure};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// A child process that is killed when dropped.
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts `program` of this workspace.
+    pub fn start(program: &str, arguments: &[String]) -> Result<Self> {
+        let mut command = Command::new(path(program)?);
+        command.args(arguments).stdin(Stdio::null());
+        if std::env::var_os("ALMONDWELL_LOGS").is_none() {
+            command.stdout(Stdio::null()).stderr(Stdio::null());
+        }
+        let child = command
+            .spawn()
+            .wrap_err_with(|| format!("cannot start `{program}`"))?;
+        Ok(Self { child })
+    }
+
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Sends the signal `name`, such as `STOP`, `CONT` or `TERM`.
+    pub fn signal(&self, name: &str) -> Result<()> {
+        let status = Command::new("kill")
+            .args([format!("-{name}"), self.id().to_string()])
+            .status()?;
+        ensure!(status.success(), "cannot send {name} to {}", self.id());
+        Ok(())
+    }
+
+    /// The exit status, if the process has ended.
+    pub fn exited(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// Waits up to `limit` for the process to end.
+    pub fn wait(&mut self, limit: Duration) -> Result<ExitStatus> {
+        let start = Instant::now();
+        while start.elapsed() < limit {
+            if let Some(status) = self.exited() {
+                return Ok(status);
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        bail!("process {} did not end within {limit:?}", self.id())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Path of the program `name`, built in this process's own profile.
+pub fn path(name: &str) -> Result<PathBuf> {
+    static FOLDER: OnceLock<PathBuf> = OnceLock::new();
+    if let Some(folder) = FOLDER.get() {
+        return Ok(folder.join(name));
+    }
+    let folder = build()?;
+    Ok(FOLDER.get_or_init(|| folder).join(name))
+}
+
+/// Builds the workspace's programs and returns the folder that holds them.
+fn build() -> Result<PathBuf> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let mut command = Command::new(cargo);
+    command
+        .args(["build", "--quiet", "--workspace", "--bins"])
+        .current_dir(root);
+    if !cfg!(debug_assertions) {
+        command.arg("--release");
+    }
+    ensure!(command.status()?.success(), "cannot build the programs");
+    let exe = std::env::current_exe()?;
+    let folder = exe.ancestors().find(|folder| {
+        folder
+            .file_name()
+            .is_some_and(|name| name == "debug" || name == "release")
+    });
+    match folder {
+        Some(folder) => Ok(folder.to_path_buf()),
+        None => bail!("`{}` is in no target folder", exe.display()),
+    }
+}
+
+/// A loopback address that is free for TCP and UDP.
+pub fn free_address() -> Result<SocketAddr> {
+    const LOW: u64 = 10_000;
+    const SPAN: u64 = 22_000;
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    for _ in 0..SPAN {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let offset = (u64::from(std::process::id()) * 127 + step) % SPAN;
+        let port = u16::try_from(LOW + offset).unwrap_or(u16::MAX);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    bail!("no free port on 127.0.0.1")
+}
--- /dev/null
+++ b/schema-gen/src/field.rs
@@ -0,0 +1,65 @@
+//! Types of fields.
+
+use crate::definition::Object;
+use eyre::{OptionExt, Result, bail};
+use proc_macro2::TokenStream;
+use quote::{format_ident, quote};
+use serde_json::Value;
+
+/// Rust type of a property.
+pub(crate) fn ty(property: &Object) -> Result<TokenStream> {
+    let ty = bare(property)?;
+    if property.get("nullable").and_then(Value::as_bool) == Some(true) {
+        return Ok(quote! { Option<#ty> });
+    }
+    Ok(ty)
+}
+
+fn bare(property: &Object) -> Result<TokenStream> {
+    if let Some(target) = property.get("$ref").and_then(Value::as_str) {
+        let ident = format_ident!("{}", target.trim_start_matches("#/$defs/"));
+        return Ok(quote! { #ident });
+    }
+    let kind = text(property, "type").ok_or_eyre("property has neither `type` nor `$ref`")?;
+    let format = text(property, "format").unwrap_or_default();
+    Ok(match (kind, format) {
+        ("array", _) => {
+            let item = ty(child(property, "items")?)?;
+            quote! { Vec<#item> }
+        }
+        ("boolean", _) => quote! { bool },
+        ("integer", "uint8") => quote! { u8 },
+        ("integer", "uint16") => quote! { u16 },
+        ("integer", "uint32") => quote! { u32 },
+        ("integer", "uint64") => quote! { u64 },
+        ("integer", "uint128") => quote! { u128 },
+        ("object", _) => {
+            let item = ty(child(property, "additionalProperties")?)?;
+            quote! { BTreeMap<Box<str>, #item> }
+        }
+        ("string", "bytes") => quote! { Vec<u8> },
+        ("string", "duration") => quote! { Duration },
+        ("string", "socket") => quote! { SocketAddr },
+        ("string", "") => quote! { Box<str> },
+        (kind, format) => bail!("type `{kind}` with format `{format}` is not supported"),
+    })
+}
+
+pub(crate) fn is_bytes(property: &Object) -> bool {
+    text(property, "format") == Some("bytes")
+}
+
+pub(crate) fn is_map(property: &Object) -> bool {
+    text(property, "type") == Some("object")
+}
+
+pub(crate) fn text<'a>(property: &'a Object, key: &str) -> Option<&'a str> {
+    property.get(key).and_then(Value::as_str)
+}
+
+fn child<'a>(property: &'a Object, key: &str) -> Result<&'a Object> {
+    property
+        .get(key)
+        .and_then(Value::as_object)
+        .ok_or_eyre(format!("property has no object `{key}`"))
+}
--- /dev/null
+++ b/schema-gen/tests/current.rs
@@ -0,0 +1,23 @@
+//! The committed code is what the generator writes.
+
+use std::path::Path;
+use std::process::Command;
+
+#[test]
+fn committed_code_is_current() {
+    let schema = Path::new(env!("CARGO_MANIFEST_DIR")).join("../schema");
+    let output = Command::new(env!("CARGO_BIN_EXE_schema-gen"))
+        .arg(schema.join("schema.json"))
+        .output()
+        .expect("the generator starts");
+    assert!(
+        output.status.success(),
+        "{}",
+        String::from_utf8_lossy(&output.stderr)
+    );
+    let committed = std::fs::read(schema.join("src/generated.rs")).expect("generated.rs exists");
+    assert!(
+        committed == output.stdout,
+        "run `cargo run -p schema-gen > schema/src/generated.rs`"
+    );
+}
--- /dev/null
+++ b/side/src/call.rs
@@ -0,0 +1,86 @@
+//! Calls that arrive over one connection.
+
+use crate::side::Side;
+use crate::upstream;
+use almondwell_daemon::gone;
+use almondwell_schema::{Fault, Frame, Reason, Run, Verdict};
+use almondwell_wire::{Connection, Error};
+use async_std::future::timeout;
+use futures_lite::FutureExt;
+use std::time::Duration;
+
+/// Serves calls one after another until the connection closes or fails.
+pub(crate) async fn serve(side: &Side, mut connection: Connection) {
+    loop {
+        match connection.read().await {
+            Ok(Some(Frame::Run(run))) => {
+                if answer(side, &mut connection, run).await.is_err() {
+                    return;
+                }
+            }
+            Ok(Some(Frame::Chunk(_) | Frame::End(_) | Frame::Fault(_) | Frame::Head(_)))
+            | Err(Error::Forged | Error::Malformed(_) | Error::TooLong(_)) => {
+                side.metrics.frames_rejected.inc();
+                return;
+            }
+            Ok(None) | Err(Error::Io(_)) => return,
+        }
+    }
+}
+
+async fn answer(side: &Side, connection: &mut Connection, run: Run) -> Result<(), Error> {
+    let ticket = run.ticket;
+    let started = side.queue().start(side.clock.now(), ticket, run.request);
+    if let Err(reason) = started {
+        side.metrics.calls_refused.inc();
+        return connection.write(&not_run(reason).into()).await;
+    }
+    let place = Place { side, ticket };
+    let tcp = connection.tcp().clone();
+    let left = run.left;
+    let call = async {
+        match timeout(left, upstream::call(side, connection, &run)).await {
+            Ok(result) => result,
+            Err(_) => connection.write(&late().into()).await,
+        }
+    };
+    let cancelled = async {
+        gone(&tcp).await;
+        side.metrics.calls_cancelled.inc();
+        Err(Error::Io(std::io::ErrorKind::ConnectionReset.into()))
+    };
+    let result = call.or(cancelled).await;
+    drop(place);
+    side.offer().await;
+    result
+}
+
+/// Frees the place of a call when it ends, also when its task is dropped.
+struct Place<'a> {
+    side: &'a Side,
+    ticket: u64,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.side.queue().finish(self.ticket);
+    }
+}
+
+pub(crate) fn not_run(reason: Reason) -> Fault {
+    Fault {
+        verdict: Verdict::NotRun,
+        reason,
+        retry: Duration::ZERO,
+        detail: "".into(),
+    }
+}
+
+fn late() -> Fault {
+    Fault {
+        verdict: Verdict::MayHaveRun,
+        reason: Reason::Late,
+        retry: Duration::ZERO,
+        detail: "deadline passed while the upstream was running the request".into(),
+    }
+}
--- /dev/null
+++ b/side/src/control.rs
@@ -0,0 +1,76 @@
+//! Reservations, received as datagrams.
+
+use crate::side::Side;
+use almondwell_core::{Answer, Reservation};
+use almondwell_schema::{Datagram, Queued, Reason, Refuse, Reserve};
+use almondwell_wire::Error;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const EXPIRY_PERIOD: Duration = Duration::from_millis(50);
+
+/// Answers datagrams until the process ends.
+pub(crate) async fn receive(side: &Side) {
+    loop {
+        match side.socket.receive().await {
+            Ok((datagram, from)) => handle(side, datagram, from).await,
+            Err(Error::Io(_)) => {
+                side.metrics.datagrams_failed.inc();
+            }
+            Err(Error::Forged | Error::Malformed(_) | Error::TooLong(_)) => {
+                side.metrics.datagrams_rejected.inc();
+            }
+        }
+    }
+}
+
+/// Passes on places whose offers ran out.
+pub(crate) async fn expire(side: &Side) {
+    loop {
+        async_std::task::sleep(EXPIRY_PERIOD).await;
+        side.offer().await;
+    }
+}
+
+async fn handle(side: &Side, datagram: Datagram, from: SocketAddr) {
+    match datagram {
+        Datagram::Reserve(reserve) => reserve_place(side, reserve, from).await,
+        Datagram::Withdraw(withdraw) => {
+            side.queue().withdraw(withdraw.request);
+            side.offer().await;
+        }
+        Datagram::Grant(_) | Datagram::Queued(_) | Datagram::Refuse(_) => {
+            side.metrics.datagrams_rejected.inc();
+        }
+    }
+}
+
+async fn reserve_place(side: &Side, reserve: Reserve, from: SocketAddr) {
+    let request = reserve.request;
+    let reservation = Reservation {
+        from,
+        left: reserve.left,
+        priority: reserve.priority,
+        request,
+        tier: reserve.tier,
+    };
+    let answer = side.queue().reserve(side.clock.now(), reservation);
+    match answer {
+        Answer::Offered(offer) => side.send_grant(offer).await,
+        Answer::Queued(_) => {
+            let wait = Duration::ZERO;
+            side.send(Queued { request, wait }.into(), from).await;
+        }
+        Answer::Refused(reason) => refuse(side, request, reason, from).await,
+    }
+}
+
+/// Tells `from` that `request` was refused.
+pub(crate) async fn refuse(side: &Side, request: u128, reason: Reason, from: SocketAddr) {
+    let refuse = Refuse {
+        request,
+        reason,
+        retry: Duration::from_secs(1),
+    };
+    side.send(refuse.into(), from).await;
+}
--- /dev/null
+++ b/side/src/main.rs
@@ -0,0 +1,38 @@
+//! `almondwell-side`, the process beside each upstream.
+
+mod admin;
+mod call;
+mod control;
+mod listener;
+mod metrics;
+mod run;
+mod side;
+mod upstream;
+
+use almondwell_daemon::Command;
+use eyre::Result;
+use std::process::ExitCode;
+
+const COMMAND: Command = Command {
+    about: "the almondwell process beside each upstream",
+    name: "almondwell-side",
+    section: "side",
+};
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("almondwell-side: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> Result<()> {
+    let settings = almondwell_daemon::parse(COMMAND, &mut lexopt::Parser::from_env())?;
+    let Some(settings) = settings else {
+        return Ok(());
+    };
+    async_std::task::block_on(run::run(settings))
+}
--- /dev/null
+++ b/side/src/run.rs
@@ -0,0 +1,53 @@
+//! Runs a side from start to stop.
+
+use crate::side::Side;
+use crate::{admin, control, listener};
+use almondwell_daemon::{set_up_logs, signals};
+use almondwell_schema::{Reason, SideSettings};
+use async_std::net::TcpListener;
+use async_std::task;
+use eyre::{Result, WrapErr};
+use std::sync::Arc;
+use std::time::Duration;
+
+const IDLE_PERIOD: Duration = Duration::from_millis(20);
+
+/// Runs until a stop signal, then finishes what runs.
+pub(crate) async fn run(settings: SideSettings) -> Result<()> {
+    set_up_logs()?;
+    let stop = signals()?;
+    let address = settings.control;
+    let listener = TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("cannot listen on control = {address}"))?;
+    let side = Side::bind(settings)
+        .await
+        .wrap_err_with(|| format!("cannot bind control = {address}"))?;
+    let side = Arc::new(side);
+    spdlog::info!("side started", kv: { id = side.settings.id.as_ref(), control = address.to_string() });
+    task::spawn(listener::accept(side.clone(), listener));
+    spawn_loop(&side);
+    task::spawn(admin::serve(side.clone()));
+    stop.recv().await?;
+    leave(&side).await;
+    Ok(())
+}
+
+fn spawn_loop(side: &Arc<Side>) {
+    let receiver = side.clone();
+    task::spawn(async move { control::receive(&receiver).await });
+    let expirer = side.clone();
+    task::spawn(async move { control::expire(&expirer).await });
+}
+
+async fn leave(side: &Side) {
+    spdlog::info!("side is leaving", kv: { id = side.settings.id.as_ref() });
+    let waiting = side.queue().leave();
+    for reservation in waiting {
+        control::refuse(side, reservation.request, Reason::Leaving, reservation.from).await;
+    }
+    while !side.queue().is_idle() {
+        task::sleep(IDLE_PERIOD).await;
+    }
+    spdlog::info!("side stopped", kv: { id = side.settings.id.as_ref() });
+}
--- /dev/null
+++ b/side/src/side.rs
@@ -0,0 +1,64 @@
+//! State that the tasks of a side share.
+
+use crate::metrics::Metrics;
+use almondwell_core::{Offer, Queue};
+use almondwell_daemon::Clock;
+use almondwell_schema::{Datagram, Grant, SideSettings};
+use almondwell_wire::{Seal, Socket};
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// State that the tasks of a side share.
+pub(crate) struct Side {
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Metrics,
+    pub(crate) seal: Seal,
+    pub(crate) settings: SideSettings,
+    pub(crate) socket: Socket,
+    queue: Mutex<Queue<SocketAddr>>,
+}
+
+impl Side {
+    pub(crate) async fn bind(settings: SideSettings) -> Result<Self, almondwell_wire::Error> {
+        let seal = Seal::new(&settings.secret);
+        let socket = Socket::bind(settings.control, seal.clone()).await?;
+        let queue = Queue::new(settings.places.into(), settings.backlog as usize);
+        Ok(Self {
+            clock: Clock::start(),
+            metrics: Metrics::default(),
+            seal,
+            settings,
+            socket,
+            queue: Mutex::new(queue),
+        })
+    }
+
+    /// The queue, locked; hold it across no await.
+    pub(crate) fn queue(&self) -> MutexGuard<'_, Queue<SocketAddr>> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends offers while places are free.
+    pub(crate) async fn offer(&self) {
+        loop {
+            let offer = self.queue().next(self.clock.now());
+            let Some(offer) = offer else { return };
+            self.send_grant(offer).await;
+        }
+    }
+
+    pub(crate) async fn send_grant(&self, offer: Offer<SocketAddr>) {
+        let grant = Grant {
+            request: offer.request,
+            ticket: offer.ticket,
+        };
+        self.send(grant.into(), offer.from).await;
+    }
+
+    /// Sends a datagram; losses are counted and made good by the receiver's timeout.
+    pub(crate) async fn send(&self, datagram: Datagram, to: SocketAddr) {
+        if self.socket.send(&datagram, to).await.is_err() {
+            self.metrics.datagrams_unsent.inc();
+        }
+    }
+}
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,34 @@
+//! Helpers of the integration tests.
+
+use fakes::set::{Set, Settings};
+use std::future::Future;
+
+/// Runs `test` over a set of real processes.
+///
+/// # Panics
+///
+/// When the set does not start or the test fails.
+pub fn with_set<F, T>(settings: Settings, test: T)
+where
+    F: Future<Output = eyre::Result<()>>,
+    T: FnOnce(Set) -> F,
+{
+    let result = async_std::task::block_on(async {
+        let set = Set::start(settings).await?;
+        test(set).await
+    });
+    if let Err(error) = result {
+        panic!("{error:?}");
+    }
+}
+
+/// Names each test and the settings of its set.
+#[macro_export]
+macro_rules! cases {
+    ($($name:ident($settings:expr) = $test:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            $crate::with_set($settings, $test);
+        })*
+    };
+}
--- /dev/null
+++ b/tests/tests/main.rs
@@ -0,0 +1,3 @@
+//! Integration tests over real processes, a module per feature.
+
+mod path;
--- /dev/null
+++ b/wire/src/connection.rs
@@ -0,0 +1,90 @@
+//! TCP connection that carries frames.
+
+use crate::{Error, Seal};
+use almondwell_schema::Frame;
+use async_std::io::prelude::{ReadExt, WriteExt};
+use async_std::net::TcpStream;
+use std::net::SocketAddr;
+
+/// Longest frame in bytes, seal included.
+pub const MAX_FRAME: usize = 5 << 20;
+
+const LENGTH: usize = size_of::<u32>();
+
+/// A TCP connection whose frames are prefixed with their length (`u32`, little endian).
+pub struct Connection {
+    seal: Seal,
+    tcp: TcpStream,
+}
+
+impl Connection {
+    /// Connects to `address`.
+    pub async fn open(address: SocketAddr, seal: Seal) -> Result<Self, Error> {
+        Self::over(TcpStream::connect(address).await?, seal)
+    }
+
+    /// Carries frames over an accepted connection.
+    pub fn over(tcp: TcpStream, seal: Seal) -> Result<Self, Error> {
+        tcp.set_nodelay(true)?;
+        Ok(Self { seal, tcp })
+    }
+
+    /// The other end's address.
+    pub fn peer(&self) -> Result<SocketAddr, Error> {
+        Ok(self.tcp.peer_addr()?)
+    }
+
+    /// The connection under the frames.
+    pub const fn tcp(&self) -> &TcpStream {
+        &self.tcp
+    }
+
+    /// Reads the next frame, or `None` when the other end has closed between frames.
+    ///
+    /// A read that is dropped halfway leaves the connection unusable.
+    pub async fn read(&mut self) -> Result<Option<Frame>, Error> {
+        let mut length = [0; LENGTH];
+        if self.tcp.read(&mut length[..1]).await? == 0 {
+            return Ok(None);
+        }
+        self.tcp.read_exact(&mut length[1..]).await?;
+        let length = u32::from_le_bytes(length) as usize;
+        if length > MAX_FRAME {
+            return Err(Error::TooLong(length));
+        }
+        let sealed = self.read_sealed(length).await?;
+        let message = self.seal.open(&sealed)?;
+        let frame = postcard::from_bytes(message).map_err(Error::Malformed)?;
+        Ok(Some(frame))
+    }
+
+    /// Grows with what arrives, so that a forged length reserves no memory.
+    async fn read_sealed(&mut self, length: usize) -> Result<Vec<u8>, Error> {
+        let mut sealed = Vec::new();
+        let read = (&mut self.tcp)
+            .take(length as u64)
+            .read_to_end(&mut sealed)
+            .await?;
+        if read < length {
+            return Err(Error::Io(std::io::ErrorKind::UnexpectedEof.into()));
+        }
+        Ok(sealed)
+    }
+
+    /// Writes one frame.
+    pub async fn write(&mut self, frame: &Frame) -> Result<(), Error> {
+        let mut message = vec![0; LENGTH];
+        message = postcard::to_extend(frame, message).map_err(Error::Malformed)?;
+        let sealed = message.split_off(LENGTH);
+        let mut sealed = sealed;
+        self.seal.close(&mut sealed);
+        if sealed.len() > MAX_FRAME {
+            return Err(Error::TooLong(sealed.len()));
+        }
+        let length = u32::try_from(sealed.len()).map_err(|_| Error::TooLong(sealed.len()))?;
+        message.copy_from_slice(&length.to_le_bytes());
+        message.extend_from_slice(&sealed);
+        self.tcp.write_all(&message).await?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/wire/src/lib.rs
@@ -0,0 +1,11 @@
+//! Datagrams and streams between almondwell processes: `postcard` messages, sealed with a shared key.
+
+mod connection;
+mod error;
+mod seal;
+mod socket;
+
+pub use connection::{Connection, MAX_FRAME};
+pub use error::Error;
+pub use seal::Seal;
+pub use socket::{MAX_DATAGRAM, Socket};
--- /dev/null
+++ b/wire/src/socket.rs
@@ -0,0 +1,64 @@
+//! UDP socket for datagrams.
+
+use crate::{Error, Seal};
+use almondwell_schema::Datagram;
+use async_std::net::UdpSocket;
+use futures_lite::future::{block_on, poll_once};
+use std::net::SocketAddr;
+use std::pin::pin;
+
+/// Longest datagram in bytes, seal included; fits one Ethernet frame.
+pub const MAX_DATAGRAM: usize = 1400;
+
+/// A UDP socket that sends and receives sealed datagrams.
+pub struct Socket {
+    seal: Seal,
+    udp: UdpSocket,
+}
+
+impl Socket {
+    /// Binds `address`.
+    pub async fn bind(address: SocketAddr, seal: Seal) -> Result<Self, Error> {
+        let udp = UdpSocket::bind(address).await?;
+        Ok(Self { seal, udp })
+    }
+
+    /// Address the socket is bound to.
+    pub fn address(&self) -> Result<SocketAddr, Error> {
+        Ok(self.udp.local_addr()?)
+    }
+
+    /// Receives the next datagram; a bad one is an error after which receiving can go on.
+    pub async fn receive(&self) -> Result<(Datagram, SocketAddr), Error> {
+        let mut buffer = [0; MAX_DATAGRAM];
+        let (length, from) = self.udp.recv_from(&mut buffer).await?;
+        let message = self.seal.open(&buffer[..length])?;
+        let datagram = postcard::from_bytes(message).map_err(Error::Malformed)?;
+        Ok((datagram, from))
+    }
+
+    /// Sends `datagram` to `to`; it may get lost.
+    pub async fn send(&self, datagram: &Datagram, to: SocketAddr) -> Result<(), Error> {
+        let message = self.encode(datagram)?;
+        self.udp.send_to(&message, to).await?;
+        Ok(())
+    }
+
+    /// Sends `datagram` to `to` if the socket takes it at once; returns whether it did.
+    pub fn send_now(&self, datagram: &Datagram, to: SocketAddr) -> bool {
+        let Ok(message) = self.encode(datagram) else {
+            return false;
+        };
+        let send = pin!(self.udp.send_to(&message, to));
+        matches!(block_on(poll_once(send)), Some(Ok(_)))
+    }
+
+    fn encode(&self, datagram: &Datagram) -> Result<Vec<u8>, Error> {
+        let mut message = postcard::to_stdvec(datagram).map_err(Error::Malformed)?;
+        self.seal.close(&mut message);
+        if message.len() > MAX_DATAGRAM {
+            return Err(Error::TooLong(message.len()));
+        }
+        Ok(message)
+    }
+}
