Measure the slopes of each role's costs

Ruled out: byte counts of the loopback interface, which mix all roles, and a process's clock ticks, which are too coarse for a daemon at rest (10 ms against some 2 ms a second); the scheduler's own nanosecond counts serve.

--- a/almondwell/src/admin.rs
+++ b/almondwell/src/admin.rs
@@ -1,6 +1,7 @@
 //! Health and metrics pages.
 
 use crate::entry::Entry;
+use almondwell_wire::Traffic;
 use prometheus_client::registry::Registry;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -19,6 +20,7 @@
 async fn metrics(request: Request<Arc<Entry>>) -> tide::Result {
     let mut registry = Registry::with_prefix("almondwell");
     request.state().metrics.register(&mut registry);
+    almondwell_daemon::register_counts(&mut registry, &Traffic::named());
     almondwell_daemon::metrics(&registry)
 }
 
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,19 +1,35 @@
 //! Measurements, one subcommand each, and the local demonstration.
 
+#![allow(
+    clippy::cast_precision_loss,
+    reason = "counts of a measurement fit into a float"
+)]
+
+mod capacity;
+mod counters;
 mod demo;
+mod fit;
+mod load;
+mod series;
+mod slopes;
+mod target;
+mod usage;
 
 use eyre::{Result, bail};
 use lexopt::prelude::{Value, ValueExt};
 
+const MEASUREMENTS: &str = "demo or slopes";
+
 fn main() -> Result<()> {
     let mut parser = lexopt::Parser::from_env();
     let name = match parser.next()? {
         Some(Value(name)) => name.string()?,
         Some(argument) => return Err(argument.unexpected().into()),
-        None => bail!("no measurement; expected demo"),
+        None => bail!("no measurement; expected {MEASUREMENTS}"),
     };
     match name.as_str() {
         "demo" => demo::run(),
-        other => bail!("unknown measurement `{other}`; expected demo"),
+        "slopes" => slopes::run(&mut parser),
+        other => bail!("unknown measurement `{other}`; expected {MEASUREMENTS}"),
     }
 }
--- a/daemon/src/pages.rs
+++ b/daemon/src/pages.rs
@@ -1,6 +1,7 @@
 //! Pages that all daemons serve.
 
 use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
 use prometheus_client::registry::Registry;
 use tide::{Response, StatusCode};
 
@@ -13,3 +14,12 @@
         .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
         .build())
 }
+
+/// Registers `counts` that are kept elsewhere, as they stand now.
+pub fn register_counts(registry: &mut Registry, counts: &[(&'static str, u64)]) {
+    for (name, value) in counts {
+        let counter: Counter = Counter::default();
+        counter.inc_by(*value);
+        registry.register(*name, "Count since the process started", counter);
+    }
+}
--- a/side/src/admin.rs
+++ b/side/src/admin.rs
@@ -1,6 +1,7 @@
 //! Health and metrics pages.
 
 use crate::side::Side;
+use almondwell_wire::Traffic;
 use prometheus_client::registry::Registry;
 use std::sync::Arc;
 use tide::Request;
@@ -18,5 +19,6 @@
 async fn metrics(request: Request<Arc<Side>>) -> tide::Result {
     let mut registry = Registry::with_prefix("almondwell_side");
     request.state().metrics.register(&mut registry);
+    almondwell_daemon::register_counts(&mut registry, &Traffic::named());
     almondwell_daemon::metrics(&registry)
 }
--- a/wire/src/connection.rs
+++ b/wire/src/connection.rs
@@ -1,5 +1,6 @@
 //! TCP connection that carries frames.
 
+use crate::traffic::{RECEIVED, SENT};
 use crate::{Error, Seal};
 use almondwell_schema::Frame;
 use async_std::io::prelude::{ReadExt, WriteExt};
@@ -53,6 +54,7 @@
             return Err(Error::TooLong(length));
         }
         let sealed = self.read_sealed(length).await?;
+        RECEIVED.count_frame(LENGTH + length);
         let message = self.seal.open(&sealed)?;
         let frame = postcard::from_bytes(message).map_err(Error::Malformed)?;
         Ok(Some(frame))
@@ -75,8 +77,7 @@
     pub async fn write(&mut self, frame: &Frame) -> Result<(), Error> {
         let mut message = vec![0; LENGTH];
         message = postcard::to_extend(frame, message).map_err(Error::Malformed)?;
-        let sealed = message.split_off(LENGTH);
-        let mut sealed = sealed;
+        let mut sealed = message.split_off(LENGTH);
         self.seal.close(&mut sealed);
         if sealed.len() > MAX_FRAME {
             return Err(Error::TooLong(sealed.len()));
@@ -85,6 +86,7 @@
         message.copy_from_slice(&length.to_le_bytes());
         message.extend_from_slice(&sealed);
         self.tcp.write_all(&message).await?;
+        SENT.count_frame(message.len());
         Ok(())
     }
 }
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -4,8 +4,10 @@
 mod error;
 mod seal;
 mod socket;
+mod traffic;
 
 pub use connection::{Connection, MAX_FRAME};
 pub use error::Error;
 pub use seal::Seal;
 pub use socket::{MAX_DATAGRAM, Socket};
+pub use traffic::Traffic;
--- a/wire/src/socket.rs
+++ b/wire/src/socket.rs
@@ -1,5 +1,6 @@
 //! UDP socket for datagrams.
 
+use crate::traffic::{RECEIVED, SENT};
 use crate::{Error, Seal};
 use almondwell_schema::Datagram;
 use async_std::net::UdpSocket;
@@ -32,6 +33,7 @@
     pub async fn receive(&self) -> Result<(Datagram, SocketAddr), Error> {
         let mut buffer = [0; MAX_DATAGRAM];
         let (length, from) = self.udp.recv_from(&mut buffer).await?;
+        RECEIVED.count_datagram(length);
         let message = self.seal.open(&buffer[..length])?;
         let datagram = postcard::from_bytes(message).map_err(Error::Malformed)?;
         Ok((datagram, from))
@@ -41,6 +43,7 @@
     pub async fn send(&self, datagram: &Datagram, to: SocketAddr) -> Result<(), Error> {
         let message = self.encode(datagram)?;
         self.udp.send_to(&message, to).await?;
+        SENT.count_datagram(message.len());
         Ok(())
     }
 
@@ -50,7 +53,11 @@
             return false;
         };
         let send = pin!(self.udp.send_to(&message, to));
-        matches!(block_on(poll_once(send)), Some(Ok(_)))
+        let is_sent = matches!(block_on(poll_once(send)), Some(Ok(_)));
+        if is_sent {
+            SENT.count_datagram(message.len());
+        }
+        is_sent
     }
 
     fn encode(&self, datagram: &Datagram) -> Result<Vec<u8>, Error> {
