--- a/almondwell/src/admin.rs
+++ b/almondwell/src/admin.rs
@@ -1,29 +1,47 @@
-//! Health and metrics pages.
+//! Health, metrics, report and status pages.
 
+use crate::burn;
 use crate::entry::Entry;
+use almondwell_schema::{Role, Status};
 use prometheus_client::registry::Registry;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use tide::{Request, Response, StatusCode};
 
+struct Pages {
+    entry: Arc<Entry>,
+    registry: Registry,
+}
+
 /// Serves the pages until the process ends.
 pub(crate) async fn serve(entry: Arc<Entry>) -> std::io::Result<()> {
     let address = entry.settings.admin;
-    let mut app = tide::with_state(entry);
+    let registry = entry.metrics.registry();
+    let mut app = tide::with_state(Arc::new(Pages { entry, registry }));
     app.at("/live").get(|_| async { Ok("live\n") });
     app.at("/metrics").get(metrics);
     app.at("/ready").get(ready);
+    app.at("/report").get(report);
+    app.at("/status").get(status);
     app.listen(address).await
 }
 
-async fn metrics(request: Request<Arc<Entry>>) -> tide::Result {
-    let mut registry = Registry::with_prefix("almondwell");
-    request.state().metrics.register(&mut registry);
-    almondwell_daemon::metrics(&registry)
+async fn metrics(request: Request<Arc<Pages>>) -> tide::Result {
+    let Pages { entry, registry } = &**request.state();
+    let open = entry.open.load(Ordering::Acquire);
+    let version = entry.catalog.load().version;
+    let metrics = &entry.metrics;
+    metrics
+        .connections
+        .set(i64::try_from(open).unwrap_or(i64::MAX));
+    metrics
+        .configuration_version
+        .set(i64::try_from(version).unwrap_or(i64::MAX));
+    almondwell_daemon::metrics(registry)
 }
 
-async fn ready(request: Request<Arc<Entry>>) -> tide::Result {
-    let entry = request.state();
+async fn ready(request: Request<Arc<Pages>>) -> tide::Result {
+    let entry = &request.state().entry;
     if entry.leaving.load(Ordering::Acquire) {
         return Ok(unready("leaving\n"));
     }
@@ -36,6 +54,20 @@
     Ok("ready\n".into())
 }
 
+async fn report(request: Request<Arc<Pages>>) -> tide::Result {
+    almondwell_daemon::json(&burn::report(&request.state().entry))
+}
+
+async fn status(request: Request<Arc<Pages>>) -> tide::Result {
+    let entry = &request.state().entry;
+    almondwell_daemon::json(&Status {
+        id: entry.settings.id.clone(),
+        role: Role::Entry,
+        version: entry.catalog.load().version,
+        leaving: entry.leaving.load(Ordering::Acquire),
+    })
+}
+
 fn unready(why: &str) -> Response {
     Response::builder(StatusCode::ServiceUnavailable)
         .body(why)
--- a/almondwell/src/answer.rs
+++ b/almondwell/src/answer.rs
@@ -1,5 +1,7 @@
 //! An upstream's answer on its way to the caller.
 
+use crate::metered::Metered;
+use crate::observation::Observation;
 use crate::refusal::{REQUEST_HEADER, VERDICT_HEADER};
 use almondwell_daemon::Pipe;
 use almondwell_schema::{Head, RequestId, Verdict};
@@ -14,11 +16,17 @@
 }
 
 impl Answer {
-    /// The answer over HTTP.
-    pub(crate) fn response(self, request: RequestId) -> Response {
+    /// The answer over HTTP; `observation` sees its end.
+    pub(crate) fn response(self, request: RequestId, mut observation: Observation) -> Response {
         let (head, body) = match self {
-            Self::Stream(head, pipe) => (head, Body::from_reader(pipe, None)),
-            Self::Whole(head, bytes) => (head, Body::from_bytes(bytes)),
+            Self::Stream(head, pipe) => {
+                let reader = Metered::new(observation, pipe, head.status);
+                (head, Body::from_reader(reader, None))
+            }
+            Self::Whole(head, bytes) => {
+                observation.whole(head.status, &bytes);
+                (head, Body::from_bytes(bytes))
+            }
         };
         let status = StatusCode::try_from(head.status).unwrap_or(StatusCode::BadGateway);
         let mut response = Response::new(status);
--- a/almondwell/src/call.rs
+++ b/almondwell/src/call.rs
@@ -3,15 +3,18 @@
 use crate::answer::Answer;
 use crate::entry::Entry;
 use crate::job::Job;
+use crate::pool::Pool;
 use crate::refusal::Refusal;
-use almondwell_daemon::{Piece, Pipe};
+use almondwell_daemon::{Clock, Piece, Pipe};
 use almondwell_schema::{Frame, Head, Run, Ticket, Verdict};
 use almondwell_wire::Connection;
-use async_std::channel::Sender;
+use async_std::channel::{SendError, Sender};
 use async_std::future::timeout;
 use async_std::task;
+use futures_lite::FutureExt;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -25,22 +28,7 @@
     side: SocketAddr,
     ticket: Ticket,
 ) -> Result<Answer, Refusal> {
-    let connect = Connection::open(side, entry.seal.clone());
-    let mut connection = match timeout(CONNECT_TIMEOUT, connect).await {
-        Ok(Ok(connection)) => connection,
-        Ok(Err(error)) => {
-            return Err(Refusal::broken(
-                Verdict::NotRun,
-                format!("no connection to a side: {error}"),
-            ));
-        }
-        Err(_) => {
-            return Err(Refusal::broken(
-                Verdict::NotRun,
-                "no connection to a side in time",
-            ));
-        }
-    };
+    let mut connection = connect(entry, side).await?;
     let left = job.deadline.saturating_sub(entry.clock.now());
     // A frame that was not written whole is never run.
     if let Err(error) = connection.write(&frame(job, ticket, left).into()).await {
@@ -49,7 +37,12 @@
             format!("a side could not be sent the request: {error}"),
         ));
     }
-    match timeout(left, read(connection)).await {
+    let home = Home {
+        clock: entry.clock,
+        pool: entry.pool.clone(),
+        side,
+    };
+    match timeout(left, read(connection, home, left)).await {
         Ok(result) => result,
         Err(_) => Err(Refusal::broken(
             Verdict::MayHaveRun,
@@ -58,6 +51,37 @@
     }
 }
 
+async fn connect(entry: &Entry, side: SocketAddr) -> Result<Connection, Refusal> {
+    if let Some(connection) = entry.pool.take(side, entry.clock.now()).await {
+        return Ok(connection);
+    }
+    let connect = Connection::open(side, entry.seal.clone());
+    match timeout(CONNECT_TIMEOUT, connect).await {
+        Ok(Ok(connection)) => Ok(connection),
+        Ok(Err(error)) => Err(Refusal::broken(
+            Verdict::NotRun,
+            format!("no connection to a side: {error}"),
+        )),
+        Err(_) => Err(Refusal::broken(
+            Verdict::NotRun,
+            "no connection to a side in time",
+        )),
+    }
+}
+
+/// Where a connection goes after a whole answer.
+struct Home {
+    clock: Clock,
+    pool: Arc<Pool>,
+    side: SocketAddr,
+}
+
+impl Home {
+    fn keep(&self, connection: Connection) {
+        self.pool.keep(self.side, connection, self.clock.now());
+    }
+}
+
 fn frame(job: &Job, ticket: Ticket, left: Duration) -> Run {
     Run {
         request: job.request,
@@ -76,15 +100,22 @@
     }
 }
 
-async fn read(mut connection: Connection) -> Result<Answer, Refusal> {
+/// Reads an answer; what is left of a stream is read for up to `left`.
+async fn read(mut connection: Connection, home: Home, left: Duration) -> Result<Answer, Refusal> {
     let head = match next(&mut connection).await? {
         Frame::Head(head) => head,
         frame => return Err(unexpected(&frame)),
     };
     if is_stream(&head) {
-        let (sender, pipe) = Pipe::new();
+        let (sender, pipe, dropped) = Pipe::guarded();
         task::spawn(async move {
-            let _ = pump(connection, &sender).await;
+            let pump = async {
+                let _ = pump(connection, &sender, &home).await;
+            };
+            let cancelled = async {
+                let _ = timeout(left, dropped.recv()).await;
+            };
+            pump.or(cancelled).await;
         });
         return Ok(Answer::Stream(head, pipe));
     }
@@ -93,6 +124,7 @@
         match next(&mut connection).await? {
             Frame::Chunk(chunk) => body.extend_from_slice(&chunk.bytes),
             Frame::End(end) if end.length == body.len() as u64 => {
+                home.keep(connection);
                 return Ok(Answer::Whole(head, body));
             }
             frame => return Err(unexpected(&frame)),
@@ -139,22 +171,26 @@
 }
 
 /// Passes the body on until its end; anything else breaks the caller's stream off.
-async fn pump(mut connection: Connection, sender: &Sender<Piece>) -> Result<(), ()> {
+async fn pump(
+    mut connection: Connection,
+    sender: &Sender<Piece>,
+    home: &Home,
+) -> Result<(), SendError<Piece>> {
     let mut length = 0;
     loop {
-        let piece = match connection.read().await {
-            Ok(Some(Frame::Chunk(chunk))) => chunk.bytes,
-            Ok(Some(Frame::End(end))) if end.length == length => Vec::new(),
+        match connection.read().await {
+            Ok(Some(Frame::Chunk(chunk))) if !chunk.bytes.is_empty() => {
+                length += chunk.bytes.len() as u64;
+                sender.send(Ok(chunk.bytes)).await?;
+            }
+            Ok(Some(Frame::End(end))) if end.length == length => {
+                home.keep(connection);
+                return sender.send(Ok(Vec::new())).await;
+            }
             Ok(_) | Err(_) => {
                 let broken = Err(io::ErrorKind::ConnectionAborted.into());
-                return sender.send(broken).await.map_err(|_| ());
+                return sender.send(broken).await;
             }
-        };
-        let is_end = piece.is_empty();
-        length += piece.len() as u64;
-        sender.send(Ok(piece)).await.map_err(|_| ())?;
-        if is_end {
-            return Ok(());
         }
     }
 }
--- a/almondwell/src/connection.rs
+++ b/almondwell/src/connection.rs
@@ -2,180 +2,93 @@
 
 use crate::entry::Entry;
 use crate::handler;
-use crate::head::{self, Body, Head, MAX_BODY};
-use crate::inbound::Inbound;
+use crate::head::Body;
+use crate::receive::{Received, receive};
 use crate::refusal::Refusal;
 use almondwell_daemon::gone;
-use async_h1::server::{Encoder, decode};
+use async_h1::server::Encoder;
 use async_std::future::timeout;
 use async_std::io::{self, ReadExt, WriteExt};
 use async_std::net::TcpStream;
+use async_std::task;
 use futures_lite::FutureExt;
-use http_types::{Method, Request, Response, StatusCode};
+use http_types::{Method, Request, Response};
+use std::net::Shutdown;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
-const BODY_TIMEOUT: Duration = Duration::from_secs(30);
-const PIECE: usize = 16 << 10;
+/// Time after a stop in which an idle connection still takes a request; longer than callers and
+/// balancers need to notice the stop.
+const LEAVING_TIME: Duration = Duration::from_secs(1);
+/// Time in which a caller may read an answer and stop sending before the connection is reset.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+const LINGER_BYTES: u64 = 16 << 20;
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Serves requests until the caller leaves, asks to close or sends something malformed.
 pub(crate) async fn serve(entry: &Entry, mut tcp: TcpStream) -> io::Result<()> {
     tcp.set_nodelay(true)?;
     let mut bytes = Vec::new();
     loop {
-        if bytes.is_empty() && !wait(&mut tcp, &mut bytes).await? {
+        if bytes.is_empty() && !wait(entry, &tcp).await {
             return Ok(());
         }
-        let _open = Open::new(entry);
-        let received = receive(&mut tcp, &mut bytes).await?;
-        let (head, request) = match received {
+        let received = match receive(entry, &mut tcp, &mut bytes).await? {
             Ok(received) => received,
             Err(refusal) => return reject(entry, &mut tcp, &refusal).await,
         };
-        let keep_alive = head.keep_alive && head.body != Body::Chunked;
-        let is_whole = answer(entry, &mut tcp, request, keep_alive).await?;
-        if !is_whole || !keep_alive || entry.leaving.load(Ordering::Acquire) {
-            return Ok(());
+        if !answer(entry, &mut tcp, received).await? {
+            return close(&mut tcp).await;
         }
     }
 }
 
-/// Counts a request as open, so that a stop waits for it.
-struct Open<'a>(&'a Entry);
-
-impl<'a> Open<'a> {
-    fn new(entry: &'a Entry) -> Self {
-        entry.open.fetch_add(1, Ordering::AcqRel);
-        Self(entry)
-    }
-}
-
-impl Drop for Open<'_> {
-    fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
-/// Waits for the first bytes of a request; `false` when there are none.
-async fn wait(tcp: &mut TcpStream, bytes: &mut Vec<u8>) -> io::Result<bool> {
-    match timeout(IDLE_TIMEOUT, read_more(tcp, bytes)).await {
-        Ok(read) => Ok(read? > 0),
-        Err(_) => Ok(false),
-    }
-}
-
-async fn read_more(tcp: &mut TcpStream, bytes: &mut Vec<u8>) -> io::Result<usize> {
-    let length = bytes.len();
-    bytes.resize(length + PIECE, 0);
-    let read = tcp.read(&mut bytes[length..]).await;
-    bytes.truncate(length + read.as_ref().copied().unwrap_or(0));
-    read
-}
-
-/// Takes one request from the front of `bytes`, reading more as needed.
-async fn receive(
-    tcp: &mut TcpStream,
-    bytes: &mut Vec<u8>,
-) -> io::Result<Result<(Head, Request), Refusal>> {
-    let head = match timeout(HEAD_TIMEOUT, read_head(tcp, bytes)).await {
-        Ok(head) => head?,
-        Err(_) => Err(too_slow("head")),
-    };
-    let head = match head {
-        Ok(head) => head,
-        Err(refusal) => return Ok(Err(refusal)),
-    };
-    if head.expects_continue {
-        tcp.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
-    }
-    match timeout(BODY_TIMEOUT, read_body(tcp, bytes, head)).await {
-        Ok(request) => Ok(request?.map(|request| (head, request))),
-        Err(_) => Ok(Err(too_slow("body"))),
-    }
-}
-
-async fn read_head(tcp: &mut TcpStream, bytes: &mut Vec<u8>) -> io::Result<Result<Head, Refusal>> {
-    loop {
-        match head::check(bytes) {
-            Ok(Some(head)) => return Ok(Ok(head)),
-            Ok(None) => {}
-            Err(refusal) => return Ok(Err(refusal)),
-        }
-        if read_more(tcp, bytes).await? == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-    }
+/// Tells a caller that too many connections are open.
+pub(crate) async fn refuse(entry: &Entry, mut tcp: TcpStream) -> io::Result<()> {
+    let refusal = Refusal::busy("too many connections are open", RETRY_AFTER);
+    reject(entry, &mut tcp, &refusal).await
 }
 
-async fn read_body(
-    tcp: &mut TcpStream,
-    bytes: &mut Vec<u8>,
-    head: Head,
-) -> io::Result<Result<Request, Refusal>> {
-    let inbound = match head.body {
-        Body::Chunked => Inbound::new(&std::mem::take(bytes), Some(tcp.clone())),
-        Body::Length(length) => {
-            let end = head.length + length;
-            while bytes.len() < end {
-                if read_more(tcp, bytes).await? == 0 {
-                    return Err(io::ErrorKind::UnexpectedEof.into());
-                }
-            }
-            let rest = bytes.split_off(end);
-            let request = std::mem::replace(bytes, rest);
-            Inbound::new(&request, None)
-        }
+/// Waits for the first bytes of a request; `false` when the connection should close without one.
+async fn wait(entry: &Entry, tcp: &TcpStream) -> bool {
+    let arrived = async {
+        let mut byte = [0];
+        tcp.peek(&mut byte).await.is_ok_and(|read| read > 0)
     };
-    let malformed = |error: http_types::Error| {
-        let message = format!("the request is malformed: {error}");
-        Refusal::invalid(StatusCode::BadRequest, "bad_request", message)
+    let idle = async {
+        task::sleep(IDLE_TIMEOUT).await;
+        false
     };
-    let mut request = match decode(inbound).await {
-        Ok(Some((request, _))) => request,
-        Ok(None) => return Err(io::ErrorKind::UnexpectedEof.into()),
-        Err(error) => return Ok(Err(malformed(error))),
+    let leaving = async {
+        entry.left().await;
+        task::sleep(LEAVING_TIME).await;
+        false
     };
-    let mut body = Vec::new();
-    let read = request.take_body().take(MAX_BODY as u64 + 1);
-    if let Err(error) = { read }.read_to_end(&mut body).await {
-        return Ok(Err(malformed(error.into())));
-    }
-    if body.len() > MAX_BODY {
-        return Ok(Err(head::body_too_long()));
-    }
-    request.set_body(body);
-    Ok(Ok(request))
-}
-
-fn too_slow(part: &str) -> Refusal {
-    let message = format!("the request's {part} came too slowly");
-    Refusal::invalid(StatusCode::RequestTimeout, "too_slow", message)
+    arrived.or(idle).or(leaving).await
 }
 
 /// Answers on the raw stream and closes.
 async fn reject(entry: &Entry, tcp: &mut TcpStream, refusal: &Refusal) -> io::Result<()> {
-    entry.metrics.requests_rejected.inc();
+    entry.metrics.reject(refusal);
     let response = refusal.response(entry.next_request());
-    write(tcp, response, Method::Post, false).await
+    let write = write(tcp, response, Method::Post, false);
+    timeout(LINGER_TIME, write)
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    close(tcp).await
 }
 
-/// Answers `request`; `false` when the caller left first.
-async fn answer(
-    entry: &Entry,
-    tcp: &mut TcpStream,
-    request: Request,
-    keep_alive: bool,
-) -> io::Result<bool> {
-    let method = request.method();
+/// Answers a request; `false` when the connection cannot carry another one.
+async fn answer(entry: &Entry, tcp: &mut TcpStream, received: Received<'_>) -> io::Result<bool> {
+    let Received {
+        head,
+        request,
+        hold: _hold,
+    } = received;
     let watched = tcp.clone();
-    let serve = async {
-        let response = handler::handle(entry, request).await;
-        write(tcp, response, method, keep_alive)
-            .await
-            .map(|()| true)
-    };
+    let may_keep = head.keep_alive && head.body != Body::Chunked;
+    let serve = serve_one(entry, tcp, request, may_keep);
     let left = async {
         gone(&watched).await;
         entry.metrics.callers_left.inc();
@@ -184,6 +97,19 @@
     serve.or(left).await
 }
 
+async fn serve_one(
+    entry: &Entry,
+    tcp: &mut TcpStream,
+    request: Request,
+    may_keep: bool,
+) -> io::Result<bool> {
+    let method = request.method();
+    let response = handler::handle(entry, request).await;
+    let keep_alive = may_keep && !entry.leaving.load(Ordering::Acquire);
+    write(tcp, response, method, keep_alive).await?;
+    Ok(keep_alive)
+}
+
 async fn write(
     tcp: &mut TcpStream,
     mut response: Response,
@@ -197,3 +123,12 @@
     io::copy(&mut encoder, &mut *tcp).await?;
     tcp.flush().await
 }
+
+/// Closes without a reset that could overtake the answer: reads on until the caller closes too.
+async fn close(tcp: &mut TcpStream) -> io::Result<()> {
+    tcp.shutdown(Shutdown::Write)?;
+    let rest = io::copy(tcp.take(LINGER_BYTES), io::sink());
+    // A caller that goes on sending is reset.
+    let _ = timeout(LINGER_TIME, rest).await;
+    Ok(())
+}
--- a/almondwell/src/dispatch.rs
+++ b/almondwell/src/dispatch.rs
@@ -22,6 +22,8 @@
     let mut last = Refusal::busy("no upstream granted a place in time", RETRY_AFTER);
     for _ in 0..ATTEMPTS {
         let (side, ticket) = reserve(entry, job).await?;
+        let wait = entry.clock.now().saturating_sub(job.arrived);
+        entry.metrics.granted(job, wait);
         match call::run(entry, job, side, ticket).await {
             Ok(answer) => return Ok(answer),
             Err(refusal) => {
--- a/almondwell/src/head.rs
+++ b/almondwell/src/head.rs
@@ -12,7 +12,7 @@
 pub(crate) const MAX_BODY: usize = 4 << 20;
 
 const MAX_HEADERS: usize = 64;
-const METHODS: [&str; 3] = ["DELETE", "GET", "POST"];
+const METHODS: [&str; 7] = ["DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"];
 
 /// How a request goes on after its head.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -31,6 +31,16 @@
     Length(usize),
 }
 
+impl Body {
+    /// Most bytes that the body may have.
+    pub(crate) const fn limit(self) -> usize {
+        match self {
+            Self::Chunked => MAX_BODY,
+            Self::Length(length) => length,
+        }
+    }
+}
+
 /// Checks the head at the start of `bytes`; `None` while it is incomplete.
 pub(crate) fn check(bytes: &[u8]) -> Result<Option<Head>, Refusal> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
@@ -56,7 +66,8 @@
     }
     let method = request.method.unwrap_or_default();
     if !METHODS.contains(&method) {
-        let message = format!("unknown method `{method}`; expected DELETE, GET or POST");
+        let expected = METHODS.join(", ");
+        let message = format!("unknown method `{method}`; expected one of {expected}");
         return Err(Refusal::invalid(
             StatusCode::NotImplemented,
             "method",
@@ -74,19 +85,34 @@
     if values("Host").len() != 1 {
         return Err(bad("expected one `Host` header"));
     }
-    let is = |name: &str, wanted: &str| {
-        values(name)
-            .iter()
-            .any(|value| value.eq_ignore_ascii_case(wanted.as_bytes()))
-    };
     Ok(Some(Head {
         body: body(&values("Content-Length"), &values("Transfer-Encoding"))?,
-        expects_continue: is("Expect", "100-continue"),
-        keep_alive: !is("Connection", "close"),
+        expects_continue: expects_continue(&values("Expect"))?,
+        keep_alive: !closes(&values("Connection")),
         length,
     }))
 }
 
+fn expects_continue(expectations: &[&[u8]]) -> Result<bool, Refusal> {
+    match expectations {
+        [] => Ok(false),
+        [one] if one.eq_ignore_ascii_case(b"100-continue") => Ok(true),
+        _ => Err(Refusal::invalid(
+            StatusCode::ExpectationFailed,
+            "expectation",
+            "expected `Expect: 100-continue` or none",
+        )),
+    }
+}
+
+/// Whether one of the options of a connection is `close`.
+fn closes(options: &[&[u8]]) -> bool {
+    options
+        .iter()
+        .flat_map(|value| value.split(|byte| *byte == b','))
+        .any(|option| option.trim_ascii().eq_ignore_ascii_case(b"close"))
+}
+
 fn body(lengths: &[&[u8]], encodings: &[&[u8]]) -> Result<Body, Refusal> {
     match (lengths, encodings) {
         ([], []) => Ok(Body::Length(0)),
--- a/almondwell/src/job.rs
+++ b/almondwell/src/job.rs
@@ -1,6 +1,11 @@
 //! One accepted request.
 
+use crate::catalog;
+use crate::entry::Entry;
+use crate::headers;
+use crate::refusal::Refusal;
 use almondwell_schema::{Class, Header, RequestId, Service, Workspace};
+use http_types::{Request, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,6 +30,55 @@
     pub(crate) workspace_name: Box<str>,
 }
 
+/// A job of `service` and the class `class_name`, for the workspace whose key the caller holds.
+pub(crate) fn new(
+    entry: &Entry,
+    request: &Request,
+    service: &Arc<Service>,
+    class_name: &str,
+    id: RequestId,
+    body: Vec<u8>,
+) -> Result<Job, Refusal> {
+    let Some((workspace_name, workspace)) = catalog::workspace(service, headers::bearer(request))
+    else {
+        return Err(Refusal::invalid(
+            StatusCode::Unauthorized,
+            "unknown_key",
+            format!(
+                "the bearer key belongs to no workspace of `{}`",
+                service.name
+            ),
+        ));
+    };
+    let Some(class) = service.classes.get(class_name) else {
+        return Err(Refusal::invalid(
+            StatusCode::BadRequest,
+            "unknown_class",
+            format!("service `{}` has no class `{class_name}`", service.name),
+        ));
+    };
+    let arrived = entry.clock.now();
+    let limit = headers::deadline(request)?
+        .unwrap_or(class.deadline)
+        .min(class.deadline);
+    Ok(Job {
+        arrived,
+        class: class.clone(),
+        class_name: class_name.into(),
+        deadline: arrived + limit,
+        fingerprint: hash(&body),
+        body,
+        headers: headers::forwarded(request),
+        key: headers::value(request, headers::IDEMPOTENCY_KEY).map(Into::into),
+        path: "".into(),
+        prefix: 0,
+        request: id,
+        service: service.clone(),
+        workspace: workspace.clone(),
+        workspace_name: workspace_name.into(),
+    })
+}
+
 /// First eight bytes of the hash of `bytes`.
 pub(crate) fn hash(bytes: &[u8]) -> u64 {
     let hash = blake3::hash(bytes);
--- a/almondwell/src/main.rs
+++ b/almondwell/src/main.rs
@@ -1,9 +1,12 @@
 //! `almondwell`: the entry daemon and the operators' commands.
 
 mod admin;
+mod admin_client;
 mod answer;
+mod burn;
 mod call;
 mod catalog;
+mod chat;
 mod check;
 mod configuration;
 mod connection;
@@ -12,13 +15,25 @@
 mod entry;
 mod handler;
 mod head;
+mod headers;
 mod inbound;
 mod job;
 mod listener;
+mod memory;
+mod metered;
 mod metrics;
+mod models;
+mod observation;
+mod outcome;
+mod plain;
+mod pool;
 mod publish;
+mod receive;
 mod refusal;
 mod report;
+mod report_html;
+mod report_lines;
+mod report_text;
 mod serve;
 mod service_file;
 mod sides;
--- a/almondwell/src/metrics.rs
+++ b/almondwell/src/metrics.rs
@@ -1,43 +1,138 @@
-//! Counters of an entry.
+//! Counters, gauges and histograms of an entry.
 
+use crate::job::Job;
+use crate::refusal::Refusal;
+use almondwell_schema::RequestId;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::exemplar::HistogramWithExemplars;
 use prometheus_client::metrics::family::Family;
-use prometheus_client::registry::Registry;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::{Registry, Unit};
 
-/// Labels of counters by class.
+/// Upper bound of the first bucket of a histogram, in seconds.
+const FIRST_BUCKET: f64 = 0.001;
+const BUCKETS: u16 = 18;
+
+/// Labels of a request's end.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct Labels {
     pub(crate) class: String,
+    pub(crate) outcome: &'static str,
     pub(crate) service: String,
-    pub(crate) verdict: String,
+    pub(crate) tier: u8,
+    pub(crate) verdict: &'static str,
+}
+
+/// Labels of times by class.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct Series {
+    class: String,
+    service: String,
+    tier: u8,
+}
+
+/// Labels of refusals.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct Code {
+    code: &'static str,
+}
+
+/// Labels of an exemplar.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct Trace {
+    request: String,
+}
+
+impl Trace {
+    pub(crate) fn new(request: RequestId) -> Self {
+        Self {
+            request: format!("{request:032x}"),
+        }
+    }
 }
 
-/// Counters of an entry.
-#[derive(Default)]
+type Times = Family<Series, HistogramWithExemplars<Trace>, fn() -> HistogramWithExemplars<Trace>>;
+
+/// Counters, gauges and histograms of an entry.
 pub(crate) struct Metrics {
-    pub(crate) answers: Family<Labels, Counter>,
     pub(crate) callers_left: Counter,
+    pub(crate) configuration_version: Gauge,
+    pub(crate) connections: Gauge,
+    pub(crate) connections_refused: Counter,
     pub(crate) datagrams_failed: Counter,
     pub(crate) datagrams_rejected: Counter,
     pub(crate) datagrams_unsent: Counter,
-    pub(crate) requests_rejected: Counter,
+    pub(crate) first_token: Times,
+    pub(crate) refusals: Family<Code, Counter>,
+    pub(crate) requests: Family<Labels, Counter>,
+    pub(crate) requests_rejected: Family<Code, Counter>,
+    pub(crate) total: Times,
+    pub(crate) wait: Times,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self {
+            callers_left: Counter::default(),
+            configuration_version: Gauge::default(),
+            connections: Gauge::default(),
+            connections_refused: Counter::default(),
+            datagrams_failed: Counter::default(),
+            datagrams_rejected: Counter::default(),
+            datagrams_unsent: Counter::default(),
+            first_token: times(),
+            refusals: Family::default(),
+            requests: Family::default(),
+            requests_rejected: Family::default(),
+            total: times(),
+            wait: times(),
+        }
+    }
 }
 
 impl Metrics {
-    /// Registers all counters.
-    pub(crate) fn register(&self, registry: &mut Registry) {
-        registry.register(
-            "answers",
-            "Answers by service, class and verdict",
-            self.answers.clone(),
-        );
+    /// A registry of all metrics.
+    pub(crate) fn registry(&self) -> Registry {
+        let mut registry = Registry::with_prefix("almondwell");
+        self.register_counters(&mut registry);
+        self.register_families(&mut registry);
+        self.register_gauges(&mut registry);
+        self.register_times(&mut registry);
+        registry
+    }
+
+    /// Counts a call that is wrong in itself.
+    pub(crate) fn reject(&self, refusal: &Refusal) {
+        let code = Code { code: refusal.code };
+        self.requests_rejected.get_or_create(&code).inc();
+    }
+
+    /// Counts a valid call that gets no answer of an upstream.
+    pub(crate) fn refuse(&self, refusal: &Refusal) {
+        let code = Code { code: refusal.code };
+        self.refusals.get_or_create(&code).inc();
+    }
+
+    /// Measures the wait of `job` for a grant.
+    pub(crate) fn granted(&self, job: &Job, wait: std::time::Duration) {
+        let histogram = self.wait.get_or_create(&series(job));
+        histogram.observe(wait.as_secs_f64(), Some(Trace::new(job.request)), None);
+    }
+
+    fn register_counters(&self, registry: &mut Registry) {
         let counters = [
             (
                 "callers_left",
                 "Callers that left before their answer",
                 &self.callers_left,
             ),
+            (
+                "connections_refused",
+                "Callers' connections refused because too many were open",
+                &self.connections_refused,
+            ),
             (
                 "datagrams_failed",
                 "Datagrams not received",
@@ -45,7 +140,7 @@
             ),
             (
                 "datagrams_rejected",
-                "Datagrams forged or malformed",
+                "Datagrams forged, malformed or unexpected",
                 &self.datagrams_rejected,
             ),
             (
@@ -53,14 +148,80 @@
                 "Datagrams not sent",
                 &self.datagrams_unsent,
             ),
-            (
-                "requests_rejected",
-                "Requests that are no valid HTTP or API calls",
-                &self.requests_rejected,
-            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
         }
     }
+
+    fn register_families(&self, registry: &mut Registry) {
+        registry.register(
+            "refusals",
+            "Valid requests without an upstream's answer, by error code",
+            self.refusals.clone(),
+        );
+        registry.register(
+            "requests",
+            "Requests by service, class, tier, outcome and verdict",
+            self.requests.clone(),
+        );
+        registry.register(
+            "requests_rejected",
+            "Requests that are no valid HTTP or API calls, by error code",
+            self.requests_rejected.clone(),
+        );
+    }
+
+    fn register_gauges(&self, registry: &mut Registry) {
+        registry.register(
+            "configuration_version",
+            "Version of the configuration in force",
+            self.configuration_version.clone(),
+        );
+        registry.register(
+            "connections",
+            "Callers' connections open now",
+            self.connections.clone(),
+        );
+    }
+
+    fn register_times(&self, registry: &mut Registry) {
+        let times = [
+            (
+                "first_token",
+                "Time from a request's arrival to the first bytes of its answer",
+                &self.first_token,
+            ),
+            (
+                "grant_wait",
+                "Time from a request's arrival to the grant of a place",
+                &self.wait,
+            ),
+            (
+                "request",
+                "Time from a request's arrival to its end",
+                &self.total,
+            ),
+        ];
+        for (name, help, family) in times {
+            registry.register_with_unit(name, help, Unit::Seconds, family.clone());
+        }
+    }
+}
+
+/// Labels of the class of `job`.
+pub(crate) fn series(job: &Job) -> Series {
+    Series {
+        class: job.class_name.to_string(),
+        service: job.service.name.to_string(),
+        tier: job.class.tier,
+    }
+}
+
+fn times() -> Times {
+    Family::new_with_constructor(histogram as fn() -> HistogramWithExemplars<Trace>)
+}
+
+fn histogram() -> HistogramWithExemplars<Trace> {
+    HistogramWithExemplars::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS))
 }
--- a/almondwell/src/refusal.rs
+++ b/almondwell/src/refusal.rs
@@ -10,9 +10,14 @@
 /// Header that names the request.
 pub(crate) const REQUEST_HEADER: &str = "Almondwell-Request";
 
+/// Time after which a caller may repeat a call that broke off before it ran.
+const NOT_RUN_RETRY: Duration = Duration::from_secs(1);
+
 /// Why a caller gets no answer of an upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct Refusal {
+    /// Methods that the path takes, for a wrong method.
+    pub(crate) allow: Option<&'static str>,
     pub(crate) code: &'static str,
     pub(crate) message: Box<str>,
     pub(crate) retry: Option<Duration>,
@@ -28,6 +33,7 @@
         message: impl Into<Box<str>>,
     ) -> Self {
         Self {
+            allow: None,
             code,
             message: message.into(),
             retry: None,
@@ -36,9 +42,22 @@
         }
     }
 
+    /// A call whose path takes only the methods `allow`.
+    pub(crate) fn method(allow: &'static str) -> Self {
+        Self {
+            allow: Some(allow),
+            ..Self::invalid(
+                StatusCode::MethodNotAllowed,
+                "method",
+                format!("wrong method for this path; expected {allow}"),
+            )
+        }
+    }
+
     /// A call that was not run for want of a place.
     pub(crate) fn busy(message: impl Into<Box<str>>, retry: Duration) -> Self {
         Self {
+            allow: None,
             code: "overloaded",
             message: message.into(),
             retry: Some(retry),
@@ -50,9 +69,10 @@
     /// A call whose run broke off.
     pub(crate) fn broken(verdict: Verdict, message: impl Into<Box<str>>) -> Self {
         Self {
+            allow: None,
             code: "upstream_failed",
             message: message.into(),
-            retry: None,
+            retry: (verdict == Verdict::NotRun).then_some(NOT_RUN_RETRY),
             status: StatusCode::BadGateway,
             verdict,
         }
@@ -76,6 +96,9 @@
         response.insert_header("Content-Type", "application/json");
         response.insert_header(VERDICT_HEADER, self.verdict.label());
         response.insert_header(REQUEST_HEADER, format!("{request:032x}"));
+        if let Some(allow) = self.allow {
+            response.insert_header("Allow", allow);
+        }
         if let Some(retry) = self.retry {
             response.insert_header("Retry-After", retry.as_secs().max(1).to_string());
         }
--- a/almondwell/src/serve.rs
+++ b/almondwell/src/serve.rs
@@ -53,7 +53,7 @@
     task::spawn(admin::serve(entry.clone()));
     let accept = task::spawn(listener::accept(entry.clone(), listener));
     stop.recv().await?;
-    entry.leaving.store(true, Ordering::Release);
+    entry.leave();
     spdlog::info!("entry is leaving", kv: { id = entry.settings.id.as_ref() });
     task::sleep(UNREADY_TIME).await;
     accept.cancel().await;
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -12,6 +12,6 @@
 pub use clock::Clock;
 pub use gone::gone;
 pub use logs::set_up as set_up_logs;
-pub use pages::metrics;
+pub use pages::{json, metrics};
 pub use pipe::{Piece, Pipe};
 pub use stop::signals;
--- a/daemon/src/pages.rs
+++ b/daemon/src/pages.rs
@@ -2,6 +2,7 @@
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::registry::Registry;
+use serde::Serialize;
 use tide::{Response, StatusCode};
 
 /// Answers with `registry` in the `OpenMetrics` text format.
@@ -13,3 +14,11 @@
         .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
         .build())
 }
+
+/// Answers with `value` as JSON.
+pub fn json(value: &impl Serialize) -> tide::Result {
+    Ok(Response::builder(StatusCode::Ok)
+        .body(tide::Body::from_json(value)?)
+        .content_type("application/json")
+        .build())
+}
--- a/daemon/src/pipe.rs
+++ b/daemon/src/pipe.rs
@@ -3,6 +3,7 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::io::{BufRead, Read};
 use futures_lite::Stream;
+use std::convert::Infallible;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -12,6 +13,8 @@
 /// Reads the pieces of a body in order; an error or a missing end breaks the answer off.
 pub struct Pipe {
     bytes: Vec<u8>,
+    /// Closes its channel with the pipe.
+    _guard: Option<Sender<Infallible>>,
     read: usize,
     receiver: Pin<Box<Receiver<Piece>>>,
 }
@@ -25,11 +28,23 @@
         let (sender, receiver) = bounded(PIECES);
         let pipe = Self {
             bytes: Vec::new(),
+            _guard: None,
             read: 0,
             receiver: Box::pin(receiver),
         };
         (sender, pipe)
     }
+
+    /// A pipe, the sender of its pieces and a channel that closes when the pipe is dropped.
+    pub fn guarded() -> (Sender<Piece>, Self, Receiver<Infallible>) {
+        let (sender, pipe) = Self::new();
+        let (guard, dropped) = bounded(1);
+        let pipe = Self {
+            _guard: Some(guard),
+            ..pipe
+        };
+        (sender, pipe, dropped)
+    }
 }
 
 impl Read for Pipe {
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -546,6 +546,45 @@
     pub author: Box<str>,
     pub services: Vec<Service>,
 }
+/// Requests within and outside their target.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Counts {
+    pub bad: u64,
+    pub good: u64,
+}
+/// Service level of one class at one entry.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Level {
+    pub service: Box<str>,
+    pub class: Box<str>,
+    pub tier: u8,
+    /// Share of requests within target, in thousandths.
+    pub attainment: u16,
+    pub fast: Counts,
+    pub slow: Counts,
+    /// Buckets of the slow window, newest last.
+    pub history: Vec<Counts>,
+}
+/// Service levels of one entry.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Report {
+    /// Identifier of the entry.
+    pub id: Box<str>,
+    /// Width of a bucket of the history.
+    pub bucket: Duration,
+    pub fast_window: Duration,
+    pub slow_window: Duration,
+    pub levels: Vec<Level>,
+}
+/// What one instance says of itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Status {
+    pub id: Box<str>,
+    pub role: Role,
+    /// Version of the configuration in force; 0 for none.
+    pub version: Version,
+    pub leaving: bool,
+}
 /// Process settings of an entry.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EntrySettings {
@@ -569,6 +608,14 @@
     pub samples: u8,
     /// Period of instance list reads.
     pub refresh: Duration,
+    /// Callers' connections served at once.
+    pub connections: u32,
+    /// Bytes that bodies of requests may hold together.
+    pub body_memory: u64,
+    /// Fast window of the service-level report.
+    pub fast_window: Duration,
+    /// Slow window of the service-level report.
+    pub slow_window: Duration,
 }
 impl Default for EntrySettings {
     fn default() -> Self {
@@ -583,6 +630,10 @@
             secret: crate::default_of(""),
             samples: crate::default_of("3"),
             refresh: crate::default_of("1s"),
+            connections: crate::default_of("4096"),
+            body_memory: crate::default_of("134217728"),
+            fast_window: crate::default_of("5m"),
+            slow_window: crate::default_of("1h"),
         }
     }
 }
@@ -638,6 +689,26 @@
             default: "1s",
             description: "Period of instance list reads.",
         },
+        Key {
+            name: "connections",
+            default: "4096",
+            description: "Callers' connections served at once.",
+        },
+        Key {
+            name: "body_memory",
+            default: "134217728",
+            description: "Bytes that bodies of requests may hold together.",
+        },
+        Key {
+            name: "fast_window",
+            default: "5m",
+            description: "Fast window of the service-level report.",
+        },
+        Key {
+            name: "slow_window",
+            default: "1h",
+            description: "Slow window of the service-level report.",
+        },
     ];
     fn set(&mut self, key: &str, value: &str) -> Result<(), Unset> {
         match key {
@@ -681,6 +752,22 @@
                 self.refresh = <Duration as Setting>::read(value)
                     .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
             }
+            "connections" => {
+                self.connections = <u32 as Setting>::read(value)
+                    .ok_or(Unset::Expected(<u32 as Setting>::EXPECTED))?;
+            }
+            "body_memory" => {
+                self.body_memory = <u64 as Setting>::read(value)
+                    .ok_or(Unset::Expected(<u64 as Setting>::EXPECTED))?;
+            }
+            "fast_window" => {
+                self.fast_window = <Duration as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
+            }
+            "slow_window" => {
+                self.slow_window = <Duration as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
+            }
             _ => return Err(Unset::UnknownKey),
         }
         Ok(())
@@ -711,6 +798,8 @@
     pub places: u16,
     /// Reservations that may wait.
     pub backlog: u32,
+    /// Connections from entries served at once.
+    pub connections: u32,
 }
 impl Default for SideSettings {
     fn default() -> Self {
@@ -726,6 +815,7 @@
             secret: crate::default_of(""),
             places: crate::default_of("16"),
             backlog: crate::default_of("4096"),
+            connections: crate::default_of("1024"),
         }
     }
 }
@@ -786,6 +876,11 @@
             default: "4096",
             description: "Reservations that may wait.",
         },
+        Key {
+            name: "connections",
+            default: "1024",
+            description: "Connections from entries served at once.",
+        },
     ];
     fn set(&mut self, key: &str, value: &str) -> Result<(), Unset> {
         match key {
@@ -833,6 +928,10 @@
                 self.backlog = <u32 as Setting>::read(value)
                     .ok_or(Unset::Expected(<u32 as Setting>::EXPECTED))?;
             }
+            "connections" => {
+                self.connections = <u32 as Setting>::read(value)
+                    .ok_or(Unset::Expected(<u32 as Setting>::EXPECTED))?;
+            }
             _ => return Err(Unset::UnknownKey),
         }
         Ok(())
--- a/side/src/admin.rs
+++ b/side/src/admin.rs
@@ -1,22 +1,51 @@
-//! Health and metrics pages.
+//! Health, metrics and status pages.
 
 use crate::side::Side;
+use almondwell_schema::{Role, Status};
 use prometheus_client::registry::Registry;
 use std::sync::Arc;
 use tide::Request;
 
+struct Pages {
+    registry: Registry,
+    side: Arc<Side>,
+}
+
 /// Serves the pages until the process ends.
 pub(crate) async fn serve(side: Arc<Side>) -> std::io::Result<()> {
     let address = side.settings.admin;
-    let mut app = tide::with_state(side);
+    let mut registry = Registry::with_prefix("almondwell_side");
+    side.metrics.register(&mut registry);
+    let mut app = tide::with_state(Arc::new(Pages { registry, side }));
     app.at("/live").get(|_| async { Ok("live\n") });
-    app.at("/ready").get(|_| async { Ok("ready\n") });
     app.at("/metrics").get(metrics);
+    app.at("/ready").get(|_| async { Ok("ready\n") });
+    app.at("/status").get(status);
     app.listen(address).await
 }
 
-async fn metrics(request: Request<Arc<Side>>) -> tide::Result {
-    let mut registry = Registry::with_prefix("almondwell_side");
-    request.state().metrics.register(&mut registry);
-    almondwell_daemon::metrics(&registry)
+async fn metrics(request: Request<Arc<Pages>>) -> tide::Result {
+    let Pages { registry, side } = &**request.state();
+    let (running, waiting) = {
+        let queue = side.queue();
+        (queue.running(), queue.waiting())
+    };
+    let metrics = &side.metrics;
+    metrics
+        .calls_running
+        .set(i64::try_from(running).unwrap_or(i64::MAX));
+    metrics
+        .reservations_waiting
+        .set(i64::try_from(waiting).unwrap_or(i64::MAX));
+    almondwell_daemon::metrics(registry)
+}
+
+async fn status(request: Request<Arc<Pages>>) -> tide::Result {
+    let side = &request.state().side;
+    almondwell_daemon::json(&Status {
+        id: side.settings.id.clone(),
+        role: Role::Side,
+        version: 0,
+        leaving: false,
+    })
 }
--- a/side/src/call.rs
+++ b/side/src/call.rs
@@ -9,10 +9,15 @@
 use futures_lite::FutureExt;
 use std::time::Duration;
 
+/// Time in which the rest of a frame has to arrive.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time without a frame after which a connection is closed; longer than entries keep it idle.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
+
 /// Serves calls one after another until the connection closes or fails.
 pub(crate) async fn serve(side: &Side, mut connection: Connection) {
     loop {
-        match connection.read().await {
+        match connection.read_within(IDLE_TIMEOUT, FRAME_TIMEOUT).await {
             Ok(Some(Frame::Run(run))) => {
                 if answer(side, &mut connection, run).await.is_err() {
                     return;
--- a/side/src/metrics.rs
+++ b/side/src/metrics.rs
@@ -1,22 +1,27 @@
-//! Counters of a side.
+//! Counters and gauges of a side.
 
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
-/// Counters of a side.
+/// Counters and gauges of a side.
 #[derive(Default)]
 pub(crate) struct Metrics {
     pub(crate) calls_cancelled: Counter,
     pub(crate) calls_refused: Counter,
+    pub(crate) calls_running: Gauge,
+    pub(crate) connections_accepted: Counter,
+    pub(crate) connections_refused: Counter,
     pub(crate) datagrams_failed: Counter,
     pub(crate) datagrams_rejected: Counter,
     pub(crate) datagrams_unsent: Counter,
     pub(crate) frames_rejected: Counter,
+    pub(crate) reservations_waiting: Gauge,
     pub(crate) upstream_failures: Counter,
 }
 
 impl Metrics {
-    /// Registers all counters.
+    /// Registers all counters and gauges.
     pub(crate) fn register(&self, registry: &mut Registry) {
         let counters = [
             (
@@ -29,6 +34,16 @@
                 "Calls without a valid grant",
                 &self.calls_refused,
             ),
+            (
+                "connections_accepted",
+                "Connections that sent a first byte",
+                &self.connections_accepted,
+            ),
+            (
+                "connections_refused",
+                "Connections refused or silent before their first frame",
+                &self.connections_refused,
+            ),
             (
                 "datagrams_failed",
                 "Datagrams not received",
@@ -58,5 +73,15 @@
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
         }
+        registry.register(
+            "calls_running",
+            "Calls that run at the upstream now",
+            self.calls_running.clone(),
+        );
+        registry.register(
+            "reservations_waiting",
+            "Reservations that wait for a place now",
+            self.reservations_waiting.clone(),
+        );
     }
 }
--- /dev/null
+++ b/tests/tests/callers.rs
@@ -0,0 +1,167 @@
+//! Many callers, and callers that leave.
+
+use async_std::task;
+use eyre::{Result, bail, ensure};
+use fakes::http::{call, open, request};
+use fakes::set::{Set, Settings, chat_body};
+use futures_lite::AsyncReadExt;
+use http_types::{Method, Response};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tests::cases;
+
+const STREAMS: usize = 200;
+const TOKENS: u64 = 20;
+
+cases! {
+    streams_to_200_callers_at_once(wide()) = streams_to_all;
+    withdraws_the_reservation_of_a_caller_that_left(narrow()) = withdraws;
+    cancels_a_silent_stream_at_once(silent()) = cancels_silent;
+    reuses_connections_to_sides(Settings::default()) = reuses;
+}
+
+fn narrow() -> Settings {
+    Settings {
+        batch: 1,
+        token: Duration::from_millis(100),
+        ..single()
+    }
+}
+
+fn silent() -> Settings {
+    Settings {
+        prefill: Duration::from_millis(1),
+        token: Duration::from_secs(20),
+        ..single()
+    }
+}
+
+fn single() -> Settings {
+    Settings {
+        engines: 1,
+        entries: 1,
+        plains: 0,
+        ..Settings::default()
+    }
+}
+
+fn wide() -> Settings {
+    Settings {
+        batch: 64,
+        engines: 4,
+        plains: 0,
+        ..Settings::default()
+    }
+}
+
+async fn streams_to_all(set: Set) -> Result<()> {
+    let set = Arc::new(set);
+    let callers: Vec<_> = (0..STREAMS)
+        .map(|caller| task::spawn(check_stream(set.clone(), caller)))
+        .collect();
+    for caller in callers {
+        caller.await?;
+    }
+    Ok(())
+}
+
+/// Compares a stream through an entry with the engine's own answer to the same prompt.
+async fn check_stream(set: Arc<Set>, caller: usize) -> Result<()> {
+    let prompt = format!("caller {caller}");
+    let body = chat_body(&prompt, TOKENS, true);
+    let entry = set.entries[caller % set.entries.len()].callers;
+    let mut through = stream(entry, &body).await?;
+    let mut text = Vec::new();
+    through.read_to_end(&mut text).await?;
+    let engine = set.upstreams[0].address;
+    let direct = post(engine, &body);
+    let direct = call(engine, direct, Duration::from_secs(30)).await?;
+    ensure!(direct.text().ends_with("data: [DONE]\n\n"));
+    let text = String::from_utf8_lossy(&text);
+    ensure!(text == direct.text(), "crossed or cut for {prompt}: {text}");
+    Ok(())
+}
+
+async fn withdraws(set: Set) -> Result<()> {
+    let entry = set.entries[0].callers;
+    let mut first = stream(entry, &chat_body("first", 1000, true)).await?;
+    first.read_exact(&mut [0; 8]).await?;
+    let waiting = task::spawn(async move { stream(entry, &chat_body("second", 1, true)).await });
+    wait_for(&set, "reservations_waiting", 1).await?;
+    waiting.cancel().await;
+    wait_for(&set, "reservations_waiting", 0).await?;
+    drop(first);
+    wait_for(&set, "calls_running", 0).await?;
+    let records = set.read(set.upstreams[0].address, "/records").await?;
+    ensure!(records["started"] == 1, "{records}");
+    Ok(())
+}
+
+async fn cancels_silent(set: Set) -> Result<()> {
+    let entry = set.entries[0].callers;
+    let response = stream(entry, &chat_body("silent", 10, true)).await?;
+    wait_for(&set, "calls_running", 1).await?;
+    let start = Instant::now();
+    drop(response);
+    wait_for(&set, "calls_running", 0).await?;
+    // The next token, which would show the pump that its caller has left, is 20 s away.
+    ensure!(
+        start.elapsed() < Duration::from_secs(2),
+        "{:?}",
+        start.elapsed()
+    );
+    Ok(())
+}
+
+async fn reuses(set: Set) -> Result<()> {
+    for number in 0..20 {
+        let answer = set.chat(0, "urgent", &format!("{number}"), 1).await?;
+        ensure!(answer.status() == 200, "{}", answer.text());
+    }
+    let opened = metric(&set, "connections_accepted_total").await?;
+    ensure!(
+        (1..=2).contains(&opened),
+        "{opened} connections for 20 calls"
+    );
+    Ok(())
+}
+
+/// Waits until the first side's metric `name` has `value`.
+async fn wait_for(set: &Set, name: &str, value: u64) -> Result<()> {
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(5) {
+        if metric(set, name).await? == value {
+            return Ok(());
+        }
+        task::sleep(Duration::from_millis(10)).await;
+    }
+    bail!("`{name}` did not become {value}")
+}
+
+async fn metric(set: &Set, name: &str) -> Result<u64> {
+    let admin = set.upstreams[0].admin;
+    let page = request(Method::Get, admin, "/metrics", &[], "");
+    let page = call(admin, page, Duration::from_secs(5)).await?;
+    let prefix = format!("almondwell_side_{name} ");
+    let text = page.text();
+    let value = text.lines().find_map(|line| line.strip_prefix(&prefix));
+    match value {
+        Some(value) => Ok(value.parse()?),
+        None => bail!("no metric `{name}`"),
+    }
+}
+
+fn post(address: std::net::SocketAddr, body: &str) -> http_types::Request {
+    let headers = [("Authorization", "Bearer retail-key")];
+    request(
+        Method::Post,
+        address,
+        "/v1/chat/completions",
+        &headers,
+        body,
+    )
+}
+
+async fn stream(address: std::net::SocketAddr, body: &str) -> Result<Response> {
+    open(address, post(address, body)).await
+}
--- a/wire/src/connection.rs
+++ b/wire/src/connection.rs
@@ -2,9 +2,11 @@
 
 use crate::{Error, Seal};
 use almondwell_schema::Frame;
+use async_std::future::timeout;
 use async_std::io::prelude::{ReadExt, WriteExt};
 use async_std::net::TcpStream;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Longest frame in bytes, seal included.
 pub const MAX_FRAME: usize = 5 << 20;
@@ -43,10 +45,38 @@
     ///
     /// A read that is dropped halfway leaves the connection unusable.
     pub async fn read(&mut self) -> Result<Option<Frame>, Error> {
-        let mut length = [0; LENGTH];
-        if self.tcp.read(&mut length[..1]).await? == 0 {
-            return Ok(None);
+        match self.first_byte().await? {
+            Some(first) => self.rest(first).await.map(Some),
+            None => Ok(None),
         }
+    }
+
+    /// As `read`, but waits no longer than `idle` for a frame and `limit` for the rest of it.
+    pub async fn read_within(
+        &mut self,
+        idle: Duration,
+        limit: Duration,
+    ) -> Result<Option<Frame>, Error> {
+        let first = timeout(idle, self.first_byte())
+            .await
+            .map_err(|_| late())??;
+        match first {
+            Some(first) => timeout(limit, self.rest(first))
+                .await
+                .map_err(|_| late())?
+                .map(Some),
+            None => Ok(None),
+        }
+    }
+
+    async fn first_byte(&mut self) -> Result<Option<u8>, Error> {
+        let mut first = [0];
+        let read = self.tcp.read(&mut first).await?;
+        Ok((read > 0).then_some(first[0]))
+    }
+
+    async fn rest(&mut self, first: u8) -> Result<Frame, Error> {
+        let mut length = [first; LENGTH];
         self.tcp.read_exact(&mut length[1..]).await?;
         let length = u32::from_le_bytes(length) as usize;
         if length > MAX_FRAME {
@@ -54,8 +84,7 @@
         }
         let sealed = self.read_sealed(length).await?;
         let message = self.seal.open(&sealed)?;
-        let frame = postcard::from_bytes(message).map_err(Error::Malformed)?;
-        Ok(Some(frame))
+        postcard::from_bytes(message).map_err(Error::Malformed)
     }
 
     /// Grows with what arrives, so that a forged length reserves no memory.
@@ -88,3 +117,7 @@
         Ok(())
     }
 }
+
+fn late() -> Error {
+    Error::Io(std::io::ErrorKind::TimedOut.into())
+}
