--- /dev/null
+++ b/daemon/src/counts.rs
@@ -0,0 +1,22 @@
+//! Counts that other packages keep, as metrics.
+
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric};
+use prometheus_client::metrics::counter::ConstCounter;
+use std::fmt;
+
+/// Counts that are read at each scrape, by metric name.
+#[derive(Clone, Copy, Debug)]
+pub struct Counts<const N: usize>(pub fn() -> [(&'static str, u64); N]);
+
+impl<const N: usize> Collector for Counts<N> {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
+        for (name, value) in (self.0)() {
+            let counter = ConstCounter::new(value);
+            let help = "Count since the process started";
+            let metric = encoder.encode_descriptor(name, help, None, counter.metric_type())?;
+            counter.encode(metric)?;
+        }
+        Ok(())
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod clock;
+mod counts;
 mod gone;
 mod logs;
 mod pages;
@@ -10,8 +11,9 @@
 
 pub use arguments::{Command, parse};
 pub use clock::Clock;
+pub use counts::Counts;
 pub use gone::gone;
 pub use logs::set_up as set_up_logs;
-pub use pages::{metrics, register_counts};
+pub use pages::{json, metrics};
 pub use pipe::{Piece, Pipe};
 pub use stop::signals;
--- a/daemon/src/pages.rs
+++ b/daemon/src/pages.rs
@@ -1,8 +1,8 @@
 //! Pages that all daemons serve.
 
 use prometheus_client::encoding::text::encode;
-use prometheus_client::metrics::counter::Counter;
 use prometheus_client::registry::Registry;
+use serde::Serialize;
 use tide::{Response, StatusCode};
 
 /// Answers with `registry` in the `OpenMetrics` text format.
@@ -15,11 +15,10 @@
         .build())
 }
 
-/// Registers `counts` that are kept elsewhere, as they stand now.
-pub fn register_counts(registry: &mut Registry, counts: &[(&'static str, u64)]) {
-    for (name, value) in counts {
-        let counter: Counter = Counter::default();
-        counter.inc_by(*value);
-        registry.register(*name, "Count since the process started", counter);
-    }
+/// Answers with `value` as JSON.
+pub fn json(value: &impl Serialize) -> tide::Result {
+    Ok(Response::builder(StatusCode::Ok)
+        .body(tide::Body::from_json(value)?)
+        .content_type("application/json")
+        .build())
 }
