--- a/bench/src/slopes.rs
+++ b/bench/src/slopes.rs
@@ -29,19 +29,72 @@
 /// The loads are the same at each run; nothing is drawn.
 const SEED: u64 = 0;
 
-/// Measures all slopes; `--page FILE` writes the capacity page.
+/// What is varied.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Against {
+    Bookings,
+    Entries,
+    Requests,
+    Reservations,
+    Sides,
+    Waiting,
+    Workspaces,
+}
+
+impl Against {
+    const ALL: [Self; 7] = [
+        Self::Bookings,
+        Self::Entries,
+        Self::Requests,
+        Self::Reservations,
+        Self::Sides,
+        Self::Waiting,
+        Self::Workspaces,
+    ];
+
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Bookings => "bookings",
+            Self::Entries => "entries",
+            Self::Requests => "requests",
+            Self::Reservations => "reservations",
+            Self::Sides => "sides",
+            Self::Waiting => "waiting",
+            Self::Workspaces => "workspaces",
+        }
+    }
+
+    async fn measure(self) -> Result<Vec<Series>> {
+        match self {
+            Self::Bookings => by_bookings().await,
+            Self::Entries => by_entries().await,
+            Self::Requests => by_requests().await,
+            Self::Reservations => by_reservations().await,
+            Self::Sides => by_sides().await,
+            Self::Waiting => by_waiting().await,
+            Self::Workspaces => by_workspaces().await,
+        }
+    }
+}
+
+/// Measures all slopes; `--only QUANTITY` prints some alone and `--page FILE` writes the capacity page.
 pub(crate) fn run(parser: &mut lexopt::Parser) -> Result<()> {
+    let mut only = None;
     let mut page = None;
     while let Some(argument) = parser.next()? {
         match argument {
+            Long("only") => only = Some(parser.value()?.string()?),
             Long("page") => page = Some(PathBuf::from(parser.value()?.string()?)),
             Long(_) | Short(_) | Value(_) => return Err(argument.unexpected().into()),
         }
     }
-    let series = task::block_on(measure())?;
+    let series = task::block_on(measure(only.as_deref()))?;
     for series in &series {
         println!("{}", series.line());
     }
+    if only.is_some() {
+        return Ok(());
+    }
     let capacity = Capacity::from(&series);
     println!("{}", capacity.table());
     if let Some(page) = page {
@@ -63,15 +116,16 @@
     targets
 }
 
-async fn measure() -> Result<Vec<Series>> {
+/// Measures all slopes, or those against one quantity alone.
+async fn measure(only: Option<&str>) -> Result<Vec<Series>> {
     let mut all = Vec::new();
-    all.extend(by_requests().await?);
-    all.extend(by_reservations().await?);
-    all.extend(by_waiting().await?);
-    all.extend(by_sides().await?);
-    all.extend(by_entries().await?);
-    all.extend(by_workspaces().await?);
-    all.extend(by_bookings().await?);
+    for against in Against::ALL {
+        if only.is_none_or(|only| only == against.label()) {
+            all.extend(against.measure().await?);
+        }
+    }
+    let names = Against::ALL.map(Against::label).join(", ");
+    ensure!(!all.is_empty(), "--only: expected one of {names}");
     Ok(all)
 }
 
