Hold membership and configuration in every process

Cause: an entry knew sides from the instance list alone, read whole each second; a leaving or silent side was still asked until the list caught up. Each entry watched the object API; sides held no configuration, and a process that started during an outage had none.

Ruled out: heartbeats from every entry to every side (620 x 2,400 datagrams a period); the list alone (it lags); a watch per process (3,020 calls at once for each change).

Change: core::Membership weighs the list against what sides say (epoch, leaving, silence), the entry probes only sides that owe an answer, and a pool's subset bounds what an entry deals with. Leaving sides tell entries until acknowledged. almondwell-configuration keeps one copy a process that never goes back, watched by two entries a region and passed on by versions in datagrams and a fetch over TCP; seeds in the setting peers serve a start during an outage. The instance list is read on condition of its tag and at a period that grows with it. publish repeats its conditional write until the outcome is known and names whom it lost to. An entry that stops asks callers to close, serves connections it has accepted and closes idle ones last.

Conclusion: messages and modules are in place; nothing about times is claimed yet.

--- a/almondwell/src/admin.rs
+++ b/almondwell/src/admin.rs
@@ -7,7 +7,6 @@
 use almondwell_wire::Traffic;
 use prometheus_client::registry::Registry;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use tide::{Request, Response, StatusCode};
 
 struct Pages {
@@ -31,7 +30,7 @@
 
 async fn metrics(request: Request<Arc<Pages>>) -> tide::Result {
     let Pages { entry, registry } = &**request.state();
-    let open = entry.open.load(Ordering::Acquire);
+    let open = entry.drain.connections();
     let version = entry.catalog.load().version;
     let metrics = &entry.metrics;
     metrics
@@ -45,13 +44,13 @@
 
 async fn ready(request: Request<Arc<Pages>>) -> tide::Result {
     let entry = &request.state().entry;
-    if entry.leaving.load(Ordering::Acquire) {
+    if entry.drain.is_leaving() {
         return Ok(unready("leaving\n"));
     }
     if entry.catalog.load().version == 0 {
         return Ok(unready("no configuration yet\n"));
     }
-    if entry.sides.load().is_empty() {
+    if entry.members.sides().is_empty() {
         return Ok(unready("no sides yet\n"));
     }
     Ok("ready\n".into())
@@ -67,7 +66,7 @@
         id: entry.settings.id.clone(),
         role: Role::Entry,
         version: entry.catalog.load().version,
-        leaving: entry.leaving.load(Ordering::Acquire),
+        leaving: entry.drain.is_leaving(),
     })
 }
 
--- a/almondwell/src/call.rs
+++ b/almondwell/src/call.rs
@@ -155,8 +155,10 @@
         Frame::Chunk(_) => "chunk",
         Frame::End(_) => "end",
         Frame::Fault(_) => "fault",
+        Frame::Fetch(_) => "fetch",
         Frame::Head(_) => "head",
         Frame::Run(_) => "run",
+        Frame::Snapshot(_) => "snapshot",
     };
     Refusal::broken(
         Verdict::MayHaveRun,
--- a/almondwell/src/connection.rs
+++ b/almondwell/src/connection.rs
@@ -14,13 +14,9 @@
 use futures_lite::FutureExt;
 use http_types::{Method, Request, Response};
 use std::net::Shutdown;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
-/// Time after a stop in which an idle connection still takes a request; longer than callers and
-/// balancers need to notice the stop.
-const LEAVING_TIME: Duration = Duration::from_secs(1);
 /// Time in which a caller may read an answer and stop sending before the connection is reset.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 const LINGER_BYTES: u64 = 16 << 20;
@@ -61,8 +57,7 @@
         false
     };
     let leaving = async {
-        entry.left().await;
-        task::sleep(LEAVING_TIME).await;
+        entry.drain.closing().await;
         false
     };
     arrived.or(idle).or(leaving).await
@@ -105,7 +100,7 @@
 ) -> io::Result<bool> {
     let method = request.method();
     let response = handler::handle(entry, request).await;
-    let keep_alive = may_keep && !entry.leaving.load(Ordering::Acquire);
+    let keep_alive = may_keep && !entry.drain.is_leaving();
     write(tcp, response, method, keep_alive).await?;
     Ok(keep_alive)
 }
--- a/almondwell/src/control.rs
+++ b/almondwell/src/control.rs
@@ -1,12 +1,14 @@
 //! Datagrams from sides.
 
 use crate::entry::Entry;
-use almondwell_schema::{Datagram, RequestId, Withdraw};
+use crate::liveness;
+use almondwell_schema::{Datagram, Epoch, RequestId, Withdraw};
 use almondwell_wire::Error;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Passes datagrams to the requests that wait for them, until the process ends.
-pub(crate) async fn receive(entry: &Entry) {
+pub(crate) async fn receive(entry: &Arc<Entry>) {
     loop {
         match entry.socket.receive().await {
             Ok((datagram, from)) => handle(entry, datagram, from).await,
@@ -20,16 +22,20 @@
     }
 }
 
-async fn handle(entry: &Entry, datagram: Datagram, from: SocketAddr) {
-    let request: RequestId = match &datagram {
-        Datagram::Grant(grant) => grant.request,
-        Datagram::Queued(queued) => queued.request,
-        Datagram::Refuse(refuse) => refuse.request,
-        Datagram::Reserve(_) | Datagram::Withdraw(_) => {
+async fn handle(entry: &Arc<Entry>, datagram: Datagram, from: SocketAddr) {
+    let (request, epoch): (RequestId, Epoch) = match &datagram {
+        Datagram::Grant(grant) => (grant.request, grant.epoch),
+        Datagram::Queued(queued) => (queued.request, queued.epoch),
+        Datagram::Refuse(refuse) => (refuse.request, refuse.epoch),
+        Datagram::Alive(alive) => return liveness::alive(entry, alive, from),
+        Datagram::Leaving(leaving) => return liveness::leaving(entry, leaving, from).await,
+        Datagram::Probe(probe) => return liveness::probed(entry, probe, from).await,
+        Datagram::Noted(_) | Datagram::Reserve(_) | Datagram::Withdraw(_) => {
             entry.metrics.datagrams_rejected.inc();
             return;
         }
     };
+    entry.members.heard(from, epoch);
     let is_grant = matches!(datagram, Datagram::Grant(_));
     if !entry.waiters.deliver(request, (datagram, from)) && is_grant {
         entry.send(Withdraw { request }.into(), from).await;
--- a/almondwell/src/dispatch.rs
+++ b/almondwell/src/dispatch.rs
@@ -51,7 +51,7 @@
             let message = "the deadline passed while the request waited for a place";
             return Err(Refusal::busy(message, RETRY_AFTER));
         }
-        let sides = entry.sides.load();
+        let sides = entry.members.sides();
         let pool = sides.pool(&job.service.pool);
         if pool.is_empty() {
             let message = format!("no upstream of the pool `{}` is known", job.service.pool);
@@ -84,6 +84,7 @@
             prefix: job.prefix,
             fingerprint: job.fingerprint,
         };
+        entry.members.asked(address, entry.clock.now());
         entry.send(reserve.into(), address).await;
         if !asked.sides.contains(&address) {
             asked.sides.push(address);
@@ -107,7 +108,12 @@
                     return None;
                 }
             }
-            Datagram::Reserve(_) | Datagram::Withdraw(_) => {}
+            Datagram::Alive(_)
+            | Datagram::Leaving(_)
+            | Datagram::Noted(_)
+            | Datagram::Probe(_)
+            | Datagram::Reserve(_)
+            | Datagram::Withdraw(_) => {}
         }
     }
 }
--- a/almondwell/src/listener.rs
+++ b/almondwell/src/listener.rs
@@ -5,7 +5,6 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -24,7 +23,7 @@
 
 fn admit(entry: &Arc<Entry>, tcp: TcpStream) {
     let limit = entry.settings.connections as usize;
-    let open = entry.open.fetch_add(1, Ordering::AcqRel);
+    let open = entry.drain.open();
     let guard = Open(entry.clone());
     if open >= limit {
         entry.metrics.connections_refused.inc();
@@ -47,6 +46,6 @@
 
 impl Drop for Open {
     fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::AcqRel);
+        self.0.drain.closed();
     }
 }
--- /dev/null
+++ b/almondwell/src/roster.rs
@@ -0,0 +1,30 @@
+//! Reads the instance list.
+
+use crate::entry::Entry;
+use almondwell_platform::ETag;
+use async_std::task;
+use std::time::Duration;
+
+/// Instances for each of which a read of the list costs as much as a read without changes.
+const LINES_PER_PERIOD: u32 = 100;
+const JITTER_LEAST: f64 = 0.75;
+const JITTER_MOST: f64 = 1.25;
+
+/// Reads the instance list again and again; while it cannot be read, the last one stays.
+pub(crate) async fn refresh(entry: &Entry) {
+    let mut tag: Option<ETag> = None;
+    loop {
+        if let Ok(Some((instances, newer))) = entry.instances.newer(tag.as_ref()).await {
+            entry.members.list(instances);
+            tag = newer;
+        }
+        task::sleep(period(entry)).await;
+    }
+}
+
+/// Grows with the list, so that the platform's load grows more slowly than the fleet.
+fn period(entry: &Entry) -> Duration {
+    let lines = u32::try_from(entry.members.instances().len()).unwrap_or(u32::MAX);
+    let period = entry.settings.refresh * (1 + lines / LINES_PER_PERIOD);
+    period.mul_f64(rand::random_range(JITTER_LEAST..JITTER_MOST))
+}
--- a/almondwell/src/serve.rs
+++ b/almondwell/src/serve.rs
@@ -1,26 +1,22 @@
 //! `almondwell serve`, the entry daemon.
 
 use crate::entry::Entry;
-use crate::{admin, configuration, control, listener, sides};
+use crate::{admin, configuration, control, listener, peers, probe, roster};
+use almondwell_configuration::{gossip, watch};
 use almondwell_daemon::{Command, parse, set_up_logs, signals};
 use almondwell_schema::EntrySettings;
 use async_std::net::TcpListener;
-use async_std::task;
+use async_std::task::{self, JoinHandle};
 use eyre::{Result, WrapErr};
 use lexopt::Parser;
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 const COMMAND: Command = Command {
     about: "the entry daemon",
     name: "almondwell serve",
     section: "entry",
 };
-/// Time between reporting unready and closing the listener, for the balancer to notice.
-const UNREADY_TIME: Duration = Duration::from_millis(500);
-const IDLE_PERIOD: Duration = Duration::from_millis(20);
 
 /// Runs an entry until a stop signal.
 pub(crate) fn run(parser: &mut Parser) -> Result<ExitCode> {
@@ -39,27 +35,45 @@
         .await
         .wrap_err_with(|| format!("cannot listen on callers = {address}"))?;
     let control = settings.control;
+    let peers = TcpListener::bind(control)
+        .await
+        .wrap_err_with(|| format!("cannot listen on control = {control}"))?;
     let entry = Entry::bind(settings)
         .await
         .wrap_err_with(|| format!("cannot bind control = {control}"))?;
     let entry = Arc::new(entry);
     spdlog::info!("entry started", kv: { id = entry.settings.id.as_ref(), callers = address.to_string() });
-    let receiver = entry.clone();
-    task::spawn(async move { control::receive(&receiver).await });
-    let follower = entry.clone();
-    task::spawn(async move { configuration::follow(&follower).await });
-    let refresher = entry.clone();
-    task::spawn(async move { sides::refresh(&refresher).await });
+    spawn_loops(&entry);
+    task::spawn(peers::accept(entry.clone(), peers));
     task::spawn(admin::serve(entry.clone()));
     let accept = task::spawn(listener::accept(entry.clone(), listener));
     stop.recv().await?;
-    entry.leave();
-    spdlog::info!("entry is leaving", kv: { id = entry.settings.id.as_ref() });
-    task::sleep(UNREADY_TIME).await;
-    accept.cancel().await;
-    while entry.open.load(Ordering::Acquire) > 0 {
-        task::sleep(IDLE_PERIOD).await;
-    }
-    spdlog::info!("entry stopped", kv: { id = entry.settings.id.as_ref() });
+    leave(&entry, accept).await;
     Ok(())
 }
+
+fn spawn_loops(entry: &Arc<Entry>) {
+    let receiver = entry.clone();
+    task::spawn(async move { control::receive(&receiver).await });
+    let watcher = entry.clone();
+    task::spawn(async move { watch(&*watcher).await });
+    let gossiper = entry.clone();
+    task::spawn(async move { gossip(&*gossiper).await });
+    let starter = entry.clone();
+    task::spawn(async move { configuration::start(&starter).await });
+    let refresher = entry.clone();
+    task::spawn(async move { roster::refresh(&refresher).await });
+    let prober = entry.clone();
+    task::spawn(async move { probe::run(&prober).await });
+}
+
+/// Reports unready, waits for balancers to notice, and finishes what callers have begun.
+async fn leave(entry: &Entry, accept: JoinHandle<()>) {
+    let settings = &entry.settings;
+    spdlog::info!("entry is leaving", kv: { id = settings.id.as_ref() });
+    entry.drain.leave();
+    entry.drain.quiet(settings.unready, settings.drain).await;
+    accept.cancel().await;
+    entry.drain.finish(settings.drain).await;
+    spdlog::info!("entry stopped", kv: { id = settings.id.as_ref() });
+}
--- a/almondwell/src/service_file.rs
+++ b/almondwell/src/service_file.rs
@@ -27,6 +27,8 @@
     }
     Ok(Config {
         author: author.into(),
+        publish: rand::random(),
+        replaced: Vec::new(),
         services,
     })
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -1,8 +1,14 @@
 //! Decisions of almondwell with no I/O: callers pass in the time and the randomness.
 
 pub mod burn;
+pub mod membership;
+mod membership_pulse;
+mod membership_subset;
 mod queue;
 mod sampler;
 
+pub use membership::Membership;
+pub use membership_pulse::Pulse;
+pub use membership_subset::{subset, weight};
 pub use queue::{Answer, Offer, Queue, Reservation};
 pub use sampler::sample;
--- a/fakes/src/platform.rs
+++ b/fakes/src/platform.rs
@@ -124,8 +124,7 @@
         task::sleep(Duration::from_millis(faults.delay_ms)).await;
     }
     if path == "/instances" {
-        platform.state().counts.reads += 1;
-        return Ok(json(&json!(instances(platform))));
+        return Ok(instances(platform, &request));
     }
     if path == "/objects" {
         return Ok(list(platform, &url));
@@ -163,7 +162,23 @@
     Ok(status(StatusCode::Ok))
 }
 
-fn instances(platform: &Platform) -> Vec<Instance> {
+fn instances(platform: &Platform, request: &Request) -> Response {
+    platform.state().counts.reads += 1;
+    let list = json!(shown(platform)).to_string();
+    let tag = format!("\"{}\"", blake3::hash(list.as_bytes()).to_hex());
+    let held = request.header("If-None-Match");
+    let mut response = if held.is_some_and(|held| held.as_str() == tag) {
+        status(StatusCode::NotModified)
+    } else {
+        let mut response = status(StatusCode::Ok);
+        response.set_body(list);
+        response
+    };
+    response.insert_header("ETag", tag);
+    response
+}
+
+fn shown(platform: &Platform) -> Vec<Instance> {
     let state = platform.state();
     state
         .instances
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -11,6 +11,10 @@
 pub type Ticket = u64;
 /// Version of an object in the object API.
 pub type Version = u64;
+/// Number of one run of a process, drawn at its start.
+pub type Epoch = u64;
+/// Identifier of one publication of the configuration.
+pub type PublishId = u64;
 /// Whether a request may have run at an upstream.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Verdict {
@@ -158,6 +162,7 @@
 pub struct Grant {
     pub request: RequestId,
     pub ticket: Ticket,
+    pub epoch: Epoch,
 }
 /// Acknowledges a reservation that has to wait.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -165,6 +170,7 @@
     pub request: RequestId,
     /// Estimated wait until a grant.
     pub wait: Duration,
+    pub epoch: Epoch,
 }
 /// Refuses a reservation; nothing has run.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -173,21 +179,69 @@
     pub reason: Reason,
     /// When a new try makes sense.
     pub retry: Duration,
+    pub epoch: Epoch,
 }
-/// Datagram between an entry and a side.
+/// Asks a process how it stands and tells it which configuration the sender holds.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Probe {
+    pub version: Version,
+}
+/// Answers a probe.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Alive {
+    pub epoch: Epoch,
+    /// Whether the process takes no new work.
+    pub leaving: bool,
+    pub version: Version,
+}
+/// Tells an entry that the sending side takes no new work; repeated until acknowledged.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Leaving {
+    pub epoch: Epoch,
+}
+/// Acknowledges that a side is leaving.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Noted {
+    pub epoch: Epoch,
+}
+/// Datagram between two processes.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Datagram {
+    Alive(Alive),
     Grant(Grant),
+    Leaving(Leaving),
+    Noted(Noted),
+    Probe(Probe),
     Queued(Queued),
     Refuse(Refuse),
     Reserve(Reserve),
     Withdraw(Withdraw),
 }
+impl From<Alive> for Datagram {
+    fn from(value: Alive) -> Self {
+        Self::Alive(value)
+    }
+}
 impl From<Grant> for Datagram {
     fn from(value: Grant) -> Self {
         Self::Grant(value)
     }
 }
+impl From<Leaving> for Datagram {
+    fn from(value: Leaving) -> Self {
+        Self::Leaving(value)
+    }
+}
+impl From<Noted> for Datagram {
+    fn from(value: Noted) -> Self {
+        Self::Noted(value)
+    }
+}
+impl From<Probe> for Datagram {
+    fn from(value: Probe) -> Self {
+        Self::Probe(value)
+    }
+}
 impl From<Queued> for Datagram {
     fn from(value: Queued) -> Self {
         Self::Queued(value)
@@ -261,14 +315,31 @@
     pub retry: Duration,
     pub detail: Box<str>,
 }
+/// Asks a process for the configuration that it holds.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Fetch {
+    /// Whether to send the instances it knows as well.
+    pub instances: bool,
+}
+/// Answers a fetch.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Snapshot {
+    pub version: Version,
+    /// The configuration as published.
+    #[serde(with = "serde_bytes")]
+    pub config: Vec<u8>,
+    pub instances: Vec<Instance>,
+}
 /// Frame of a stream between processes.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Frame {
     Chunk(Chunk),
     End(End),
     Fault(Fault),
+    Fetch(Fetch),
     Head(Head),
     Run(Run),
+    Snapshot(Snapshot),
 }
 impl From<Chunk> for Frame {
     fn from(value: Chunk) -> Self {
@@ -285,6 +356,11 @@
         Self::Fault(value)
     }
 }
+impl From<Fetch> for Frame {
+    fn from(value: Fetch) -> Self {
+        Self::Fetch(value)
+    }
+}
 impl From<Head> for Frame {
     fn from(value: Head) -> Self {
         Self::Head(value)
@@ -295,6 +371,11 @@
         Self::Run(value)
     }
 }
+impl From<Snapshot> for Frame {
+    fn from(value: Snapshot) -> Self {
+        Self::Snapshot(value)
+    }
+}
 /// One line of the platform's instance list.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Instance {
@@ -544,6 +625,9 @@
 pub struct Config {
     /// Who published it.
     pub author: Box<str>,
+    pub publish: PublishId,
+    /// Publications that it replaced, the latest first.
+    pub replaced: Vec<PublishId>,
     pub services: Vec<Service>,
 }
 /// Requests within and outside their target.
@@ -604,10 +688,10 @@
     pub platform: SocketAddr,
     /// Key that seals traffic between almondwell processes.
     pub secret: Box<str>,
+    /// Control addresses asked for the configuration while the platform is down, separated by commas.
+    pub peers: Vec<SocketAddr>,
     /// Sides asked for each request.
     pub samples: u8,
-    /// Period of instance list reads.
-    pub refresh: Duration,
     /// Callers' connections served at once.
     pub connections: u32,
     /// Bytes that bodies of requests may hold together.
@@ -616,6 +700,12 @@
     pub fast_window: Duration,
     /// Slow window of the service-level report.
     pub slow_window: Duration,
+    /// Shortest period of instance list reads.
+    pub refresh: Duration,
+    /// Longest time that idle connections of callers stay open after a stop.
+    pub drain: Duration,
+    /// Time between reporting unready and closing the listener, for balancers to notice.
+    pub unready: Duration,
 }
 impl Default for EntrySettings {
     fn default() -> Self {
@@ -628,12 +718,15 @@
             admin: crate::default_of("127.0.0.1:8082"),
             platform: crate::default_of("127.0.0.1:8000"),
             secret: crate::default_of(""),
+            peers: crate::default_of(""),
             samples: crate::default_of("3"),
-            refresh: crate::default_of("1s"),
             connections: crate::default_of("4096"),
             body_memory: crate::default_of("134217728"),
             fast_window: crate::default_of("5m"),
             slow_window: crate::default_of("1h"),
+            refresh: crate::default_of("1s"),
+            drain: crate::default_of("5s"),
+            unready: crate::default_of("1s"),
         }
     }
 }
@@ -679,16 +772,16 @@
             default: "",
             description: "Key that seals traffic between almondwell processes.",
         },
+        Key {
+            name: "peers",
+            default: "",
+            description: "Control addresses asked for the configuration while the platform is down, separated by commas.",
+        },
         Key {
             name: "samples",
             default: "3",
             description: "Sides asked for each request.",
         },
-        Key {
-            name: "refresh",
-            default: "1s",
-            description: "Period of instance list reads.",
-        },
         Key {
             name: "connections",
             default: "4096",
@@ -709,6 +802,21 @@
             default: "1h",
             description: "Slow window of the service-level report.",
         },
+        Key {
+            name: "refresh",
+            default: "1s",
+            description: "Shortest period of instance list reads.",
+        },
+        Key {
+            name: "drain",
+            default: "5s",
+            description: "Longest time that idle connections of callers stay open after a stop.",
+        },
+        Key {
+            name: "unready",
+            default: "1s",
+            description: "Time between reporting unready and closing the listener, for balancers to notice.",
+        },
     ];
     fn set(&mut self, key: &str, value: &str) -> Result<(), Unset> {
         match key {
@@ -744,14 +852,14 @@
                 self.secret = <Box<str> as Setting>::read(value)
                     .ok_or(Unset::Expected(<Box<str> as Setting>::EXPECTED))?;
             }
+            "peers" => {
+                self.peers = <Vec<SocketAddr> as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Vec<SocketAddr> as Setting>::EXPECTED))?;
+            }
             "samples" => {
                 self.samples = <u8 as Setting>::read(value)
                     .ok_or(Unset::Expected(<u8 as Setting>::EXPECTED))?;
             }
-            "refresh" => {
-                self.refresh = <Duration as Setting>::read(value)
-                    .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
-            }
             "connections" => {
                 self.connections = <u32 as Setting>::read(value)
                     .ok_or(Unset::Expected(<u32 as Setting>::EXPECTED))?;
@@ -768,6 +876,18 @@
                 self.slow_window = <Duration as Setting>::read(value)
                     .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
             }
+            "refresh" => {
+                self.refresh = <Duration as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
+            }
+            "drain" => {
+                self.drain = <Duration as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
+            }
+            "unready" => {
+                self.unready = <Duration as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
+            }
             _ => return Err(Unset::UnknownKey),
         }
         Ok(())
@@ -794,6 +914,8 @@
     pub upstream: SocketAddr,
     /// Key that seals traffic between almondwell processes.
     pub secret: Box<str>,
+    /// Control addresses asked for the configuration while the platform is down, separated by commas.
+    pub peers: Vec<SocketAddr>,
     /// Requests the upstream runs at once.
     pub places: u16,
     /// Reservations that may wait.
@@ -813,6 +935,7 @@
             platform: crate::default_of("127.0.0.1:8000"),
             upstream: crate::default_of("127.0.0.1:8100"),
             secret: crate::default_of(""),
+            peers: crate::default_of(""),
             places: crate::default_of("16"),
             backlog: crate::default_of("4096"),
             connections: crate::default_of("1024"),
@@ -866,6 +989,11 @@
             default: "",
             description: "Key that seals traffic between almondwell processes.",
         },
+        Key {
+            name: "peers",
+            default: "",
+            description: "Control addresses asked for the configuration while the platform is down, separated by commas.",
+        },
         Key {
             name: "places",
             default: "16",
@@ -920,6 +1048,10 @@
                 self.secret = <Box<str> as Setting>::read(value)
                     .ok_or(Unset::Expected(<Box<str> as Setting>::EXPECTED))?;
             }
+            "peers" => {
+                self.peers = <Vec<SocketAddr> as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Vec<SocketAddr> as Setting>::EXPECTED))?;
+            }
             "places" => {
                 self.places = <u16 as Setting>::read(value)
                     .ok_or(Unset::Expected(<u16 as Setting>::EXPECTED))?;
--- a/schema/src/setting.rs
+++ b/schema/src/setting.rs
@@ -57,6 +57,18 @@
     }
 }
 
+impl<T: Setting> Setting for Vec<T> {
+    const EXPECTED: &'static str = "values separated by commas";
+
+    fn read(text: &str) -> Option<Self> {
+        text.split(',')
+            .map(str::trim)
+            .filter(|item| !item.is_empty())
+            .map(T::read)
+            .collect()
+    }
+}
+
 macro_rules! integers {
     ($($ty:ty => $expected:literal),* $(,)?) => {
         $(impl Setting for $ty {
--- a/side/src/admin.rs
+++ b/side/src/admin.rs
@@ -6,6 +6,7 @@
 use almondwell_wire::Traffic;
 use prometheus_client::registry::Registry;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use tide::Request;
 
 struct Pages {
@@ -48,7 +49,7 @@
     almondwell_daemon::json(&Status {
         id: side.settings.id.clone(),
         role: Role::Side,
-        version: 0,
-        leaving: false,
+        version: side.replica.version(),
+        leaving: side.leaving.load(Ordering::Acquire),
     })
 }
--- a/side/src/call.rs
+++ b/side/src/call.rs
@@ -2,6 +2,7 @@
 
 use crate::side::Side;
 use crate::upstream;
+use almondwell_configuration as configuration;
 use almondwell_daemon::gone;
 use almondwell_schema::{Fault, Frame, Reason, Run, Verdict};
 use almondwell_wire::{Connection, Error};
@@ -23,7 +24,19 @@
                     return;
                 }
             }
-            Ok(Some(Frame::Chunk(_) | Frame::End(_) | Frame::Fault(_) | Frame::Head(_)))
+            Ok(Some(Frame::Fetch(fetch))) => {
+                let answer = configuration::answer(side, &fetch);
+                if connection.write(&answer).await.is_err() {
+                    return;
+                }
+            }
+            Ok(Some(
+                Frame::Chunk(_)
+                | Frame::End(_)
+                | Frame::Fault(_)
+                | Frame::Head(_)
+                | Frame::Snapshot(_),
+            ))
             | Err(Error::Forged | Error::Malformed(_) | Error::TooLong(_)) => {
                 side.metrics.frames_rejected.inc();
                 return;
--- a/side/src/control.rs
+++ b/side/src/control.rs
@@ -1,16 +1,18 @@
 //! Reservations, received as datagrams.
 
+use crate::liveness;
 use crate::side::Side;
 use almondwell_core::{Answer, Reservation};
 use almondwell_schema::{Datagram, Queued, Reason, Refuse, Reserve};
 use almondwell_wire::Error;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 const EXPIRY_PERIOD: Duration = Duration::from_millis(50);
 
 /// Answers datagrams until the process ends.
-pub(crate) async fn receive(side: &Side) {
+pub(crate) async fn receive(side: &Arc<Side>) {
     loop {
         match side.socket.receive().await {
             Ok((datagram, from)) => handle(side, datagram, from).await,
@@ -32,14 +34,18 @@
     }
 }
 
-async fn handle(side: &Side, datagram: Datagram, from: SocketAddr) {
+async fn handle(side: &Arc<Side>, datagram: Datagram, from: SocketAddr) {
+    side.entries.heard(from, side.clock.now());
     match datagram {
+        Datagram::Alive(alive) => liveness::alive(side, &alive, from),
+        Datagram::Noted(noted) => side.entries.noted(from, noted.epoch == side.epoch),
+        Datagram::Probe(probe) => liveness::probed(side, &probe, from).await,
         Datagram::Reserve(reserve) => reserve_place(side, reserve, from).await,
         Datagram::Withdraw(withdraw) => {
             side.queue().withdraw(withdraw.request);
             side.offer().await;
         }
-        Datagram::Grant(_) | Datagram::Queued(_) | Datagram::Refuse(_) => {
+        Datagram::Grant(_) | Datagram::Leaving(_) | Datagram::Queued(_) | Datagram::Refuse(_) => {
             side.metrics.datagrams_rejected.inc();
         }
     }
@@ -59,7 +65,17 @@
         Answer::Offered(offer) => side.send_grant(offer).await,
         Answer::Queued(_) => {
             let wait = Duration::ZERO;
-            side.send(Queued { request, wait }.into(), from).await;
+            let epoch = side.epoch;
+            side.send(
+                Queued {
+                    request,
+                    wait,
+                    epoch,
+                }
+                .into(),
+                from,
+            )
+            .await;
         }
         Answer::Refused(reason) => refuse(side, request, reason, from).await,
     }
@@ -71,6 +87,7 @@
         request,
         reason,
         retry: Duration::from_secs(1),
+        epoch: side.epoch,
     };
     side.send(refuse.into(), from).await;
 }
--- a/side/src/main.rs
+++ b/side/src/main.rs
@@ -1,9 +1,13 @@
 //! `almondwell-side`, the process beside each upstream.
 
 mod admin;
+mod announcement;
 mod call;
+mod configuration;
 mod control;
+mod entries;
 mod listener;
+mod liveness;
 mod metrics;
 mod run;
 mod side;
--- a/side/src/run.rs
+++ b/side/src/run.rs
@@ -1,16 +1,19 @@
 //! Runs a side from start to stop.
 
 use crate::side::Side;
-use crate::{admin, control, listener};
+use crate::{admin, announcement, configuration, control, listener};
+use almondwell_configuration::{gossip, watch};
 use almondwell_daemon::{set_up_logs, signals};
 use almondwell_schema::{Reason, SideSettings};
 use async_std::net::TcpListener;
 use async_std::task;
 use eyre::{Result, WrapErr};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 const IDLE_PERIOD: Duration = Duration::from_millis(20);
+const LINGER: Duration = Duration::from_millis(500);
 
 /// Runs until a stop signal, then finishes what runs.
 pub(crate) async fn run(settings: SideSettings) -> Result<()> {
@@ -26,28 +29,39 @@
     let side = Arc::new(side);
     spdlog::info!("side started", kv: { id = side.settings.id.as_ref(), control = address.to_string() });
     task::spawn(listener::accept(side.clone(), listener));
-    spawn_loop(&side);
+    spawn_loops(&side);
     task::spawn(admin::serve(side.clone()));
     stop.recv().await?;
     leave(&side).await;
     Ok(())
 }
 
-fn spawn_loop(side: &Arc<Side>) {
+fn spawn_loops(side: &Arc<Side>) {
     let receiver = side.clone();
     task::spawn(async move { control::receive(&receiver).await });
     let expirer = side.clone();
     task::spawn(async move { control::expire(&expirer).await });
+    let watcher = side.clone();
+    task::spawn(async move { watch(&*watcher).await });
+    let gossiper = side.clone();
+    task::spawn(async move { gossip(&*gossiper).await });
+    let starter = side.clone();
+    task::spawn(async move { configuration::start(&starter).await });
 }
 
+/// Refuses what waits, tells the entries, and finishes what runs.
 async fn leave(side: &Side) {
     spdlog::info!("side is leaving", kv: { id = side.settings.id.as_ref() });
+    side.leaving.store(true, Ordering::Release);
     let waiting = side.queue().leave();
     for reservation in waiting {
         control::refuse(side, reservation.request, Reason::Leaving, reservation.from).await;
     }
+    announcement::run(side).await;
     while !side.queue().is_idle() {
         task::sleep(IDLE_PERIOD).await;
     }
+    // Requests on their way to an offer that has run out are still told that they were not run.
+    task::sleep(LINGER).await;
     spdlog::info!("side stopped", kv: { id = side.settings.id.as_ref() });
 }
--- a/side/src/side.rs
+++ b/side/src/side.rs
@@ -1,17 +1,27 @@
 //! State that the tasks of a side share.
 
+use crate::entries::Entries;
 use crate::metrics::Metrics;
+use almondwell_configuration::Replica;
 use almondwell_core::{Offer, Queue};
 use almondwell_daemon::Clock;
-use almondwell_schema::{Datagram, Grant, SideSettings};
+use almondwell_platform::Objects;
+use almondwell_schema::{Datagram, Epoch, Grant, SideSettings};
 use almondwell_wire::{Seal, Socket};
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// State that the tasks of a side share.
 pub(crate) struct Side {
     pub(crate) clock: Clock,
+    pub(crate) entries: Entries,
+    /// Number of this run; never 0.
+    pub(crate) epoch: Epoch,
+    pub(crate) leaving: AtomicBool,
     pub(crate) metrics: Metrics,
+    pub(crate) objects: Objects,
+    pub(crate) replica: Replica,
     pub(crate) seal: Seal,
     pub(crate) settings: SideSettings,
     pub(crate) socket: Socket,
@@ -25,7 +35,12 @@
         let queue = Queue::new(settings.places.into(), settings.backlog as usize);
         Ok(Self {
             clock: Clock::start(),
+            entries: Entries::default(),
+            epoch: rand::random_range(1..=Epoch::MAX),
+            leaving: AtomicBool::new(false),
             metrics: Metrics::default(),
+            objects: Objects::new(settings.platform),
+            replica: Replica::default(),
             seal,
             settings,
             socket,
@@ -51,6 +66,7 @@
         let grant = Grant {
             request: offer.request,
             ticket: offer.ticket,
+            epoch: self.epoch,
         };
         self.send(grant.into(), offer.from).await;
     }
