Prove membership, planned stop and configuration with real processes

Cause: nothing showed that a silent, leaving or replaced side costs no request, that a stop cuts none, or that publications settle and spread. One fault was found on the way: a request whose reservation was queued waited for that side until its deadline, though the side had died.

Ruled out: asking further sides at each repeat (a wait would grow the number of reservations without limit); a longer silence (it only moves the wait).

Change: sides that queued a reservation are asked again every 500 ms and keep its rank. The set of the stand-ins replaces processes at the same or at new addresses; tests send load through a balancer that uses ready entries and repeats refused connections only. The stand-in of the instance list counts whole and unchanged answers.

--- a/almondwell/src/dispatch.rs
+++ b/almondwell/src/dispatch.rs
@@ -9,11 +9,15 @@
 use almondwell_core::sample;
 use almondwell_schema::{Datagram, Instance, Reserve, Ticket, Verdict, Withdraw};
 use async_std::future::timeout;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Time without a word from any asked side after which others are asked.
 const SILENCE: Duration = Duration::from_millis(100);
+/// Time after which sides that queued a reservation are asked again: one may have died since, and
+/// one that lives keeps the reservation's rank.
+const REPEAT: Duration = Duration::from_millis(500);
 const ATTEMPTS: usize = 3;
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -42,6 +46,7 @@
     let waiter = entry.waiters.open(job.request);
     let mut asked = Asked {
         entry,
+        queued: BTreeSet::new(),
         request: job.request,
         sides: Vec::new(),
     };
@@ -58,7 +63,7 @@
             return Err(Refusal::busy(message, RETRY_AFTER));
         }
         ask(entry, job, pool, &mut asked, left).await;
-        if let Some((side, ticket)) = wait(&waiter, left, asked.sides.len()).await {
+        if let Some((side, ticket)) = wait(&waiter, left, &mut asked).await {
             asked.sides.retain(|asked| *asked != side);
             return Ok((side, ticket));
         }
@@ -66,11 +71,17 @@
 }
 
 async fn ask(entry: &Entry, job: &Job, pool: &[Instance], asked: &mut Asked<'_>, left: Duration) {
-    let count = entry.settings.samples.into();
-    let chosen = sample(&mut rand::rng(), pool.len(), count);
+    let count: usize = entry.settings.samples.into();
+    let queued = std::mem::take(&mut asked.queued);
+    let (mut chosen, others): (Vec<_>, Vec<_>) = pool
+        .iter()
+        .partition(|instance| queued.contains(&instance.address));
+    let missing = count.saturating_sub(chosen.len());
+    let sampled = sample(&mut rand::rng(), others.len(), missing);
+    chosen.extend(sampled.into_iter().map(|index| others[index]));
     let waited = entry.clock.now().saturating_sub(job.arrived);
-    for index in chosen {
-        let address = pool[index].address;
+    for instance in chosen {
+        let address = instance.address;
         let reserve = Reserve {
             request: job.request,
             service: job.service.name.clone(),
@@ -93,17 +104,24 @@
 }
 
 /// Waits for a grant; `None` when other sides should be asked.
-async fn wait(waiter: &Waiter<'_>, left: Duration, asked: usize) -> Option<(SocketAddr, Ticket)> {
+async fn wait(
+    waiter: &Waiter<'_>,
+    left: Duration,
+    asked: &mut Asked<'_>,
+) -> Option<(SocketAddr, Ticket)> {
     let mut limit = SILENCE.min(left);
     let mut refused = 0;
     loop {
         let (datagram, from) = timeout(limit, waiter.inbox.recv()).await.ok()?.ok()?;
         match datagram {
             Datagram::Grant(grant) => return Some((from, grant.ticket)),
-            Datagram::Queued(_) => limit = left,
+            Datagram::Queued(_) => {
+                asked.queued.insert(from);
+                limit = REPEAT.min(left);
+            }
             Datagram::Refuse(_) => {
                 refused += 1;
-                if refused >= asked {
+                if refused >= asked.sides.len() {
                     async_std::task::sleep(SILENCE.min(left)).await;
                     return None;
                 }
@@ -121,6 +139,8 @@
 /// Sides that hold a reservation; they are told when it is given up.
 struct Asked<'a> {
     entry: &'a Entry,
+    /// Sides at which the reservation waits.
+    queued: BTreeSet<SocketAddr>,
     request: u128,
     sides: Vec<SocketAddr>,
 }
--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod platform;
 pub mod process;
 pub mod proxy;
+pub mod replacement;
 pub mod server;
 pub mod set;
--- a/fakes/src/platform.rs
+++ b/fakes/src/platform.rs
@@ -53,7 +53,11 @@
 
 #[derive(Default)]
 struct Counts {
+    /// Instance lists sent whole.
+    lists: u64,
     reads: u64,
+    /// Instance lists that were as the reader knew them.
+    unchanged: u64,
     watches: u64,
     writes: u64,
 }
@@ -107,7 +111,8 @@
         let state = platform.state();
         let counts = &state.counts;
         return Ok(json(
-            &json!({"reads": counts.reads, "watches": counts.watches, "writes": counts.writes}),
+            &json!({"lists": counts.lists, "reads": counts.reads, "unchanged": counts.unchanged,
+                "watches": counts.watches, "writes": counts.writes}),
         ));
     }
     if request.method() != Method::Get && path.starts_with("/instances/") {
@@ -167,9 +172,12 @@
     let list = json!(shown(platform)).to_string();
     let tag = format!("\"{}\"", blake3::hash(list.as_bytes()).to_hex());
     let held = request.header("If-None-Match");
+    let mut state = platform.state();
     let mut response = if held.is_some_and(|held| held.as_str() == tag) {
+        state.counts.unchanged += 1;
         status(StatusCode::NotModified)
     } else {
+        state.counts.lists += 1;
         let mut response = status(StatusCode::Ok);
         response.set_body(list);
         response
--- a/fakes/src/set.rs
+++ b/fakes/src/set.rs
@@ -277,7 +277,7 @@
         Ok(())
     }
 
-    fn start_side(
+    pub(crate) fn start_side(
         &self,
         id: &str,
         pool: &str,
@@ -303,10 +303,21 @@
     /// Starts one more entry.
     pub async fn add_entry(&mut self) -> Result<()> {
         let id = format!("entry-{}", self.entries.len());
-        let [callers, control, admin] = [free_address()?, free_address()?, free_address()?];
+        let addresses = [free_address()?, free_address()?, free_address()?];
+        let entry = self.start_entry(&id, addresses).await?;
+        self.entries.push(entry);
+        Ok(())
+    }
+
+    /// Starts the entry `id` at `addresses` and shows it in the instance list.
+    pub(crate) async fn start_entry(
+        &self,
+        id: &str,
+        [callers, control, admin]: [SocketAddr; 3],
+    ) -> Result<Entry> {
         let mut arguments = vec!["serve".to_string()];
         arguments.extend(pairs(&[
-            ("id", id.clone()),
+            ("id", id.to_string()),
             ("zone", "kagoshima-a".to_string()),
             ("region", "kyushu-south".to_string()),
             ("callers", callers.to_string()),
@@ -317,16 +328,15 @@
         ]));
         arguments.extend(pairs(&self.settings.entry_flags));
         let process = Process::start("almondwell", &arguments)?;
-        self.register(&instance(&id, Role::Entry, "", control))
+        self.register(&instance(id, Role::Entry, "", control))
             .await?;
-        self.entries.push(Entry {
+        Ok(Entry {
             admin,
             callers,
             control,
-            id,
+            id: id.to_string(),
             process,
-        });
-        Ok(())
+        })
     }
 
     /// Shows `instance` in the instance list.
@@ -445,7 +455,7 @@
     bail!("{address}{page} was not ready within {READY_TIMEOUT:?}")
 }
 
-fn instance(id: &str, role: Role, pool: &str, address: SocketAddr) -> Instance {
+pub(crate) fn instance(id: &str, role: Role, pool: &str, address: SocketAddr) -> Instance {
     Instance {
         id: id.into(),
         role,
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,5 +1,9 @@
 //! Helpers of the integration tests.
 
+pub mod balancer;
+pub mod poll;
+pub mod publish;
+
 use fakes::set::{Set, Settings};
 use std::future::Future;
 
--- /dev/null
+++ b/tests/src/publish.rs
@@ -0,0 +1,94 @@
+//! The `publish` command, with its outcome.
+
+use async_std::task;
+use eyre::Result;
+use fakes::process::path;
+use fakes::set::{DRAFTING, ORDERS, Set};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use crate::poll::until;
+
+/// One `publish` command.
+#[derive(Clone, Debug)]
+pub struct Publish {
+    /// Name of the author.
+    pub author: String,
+    folder: PathBuf,
+    /// Time for which the platform is tried.
+    pub patience: &'static str,
+    platform: SocketAddr,
+}
+
+/// What the command said.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// Standard error.
+    pub errors: String,
+    /// Version that was published, if one was.
+    pub version: Option<u64>,
+}
+
+impl Publish {
+    /// A command that publishes the set's services under the name of `author`.
+    pub fn new(set: &Set, author: &str) -> Self {
+        Self {
+            author: author.to_string(),
+            folder: set.folder.clone(),
+            patience: "20s",
+            platform: set.platform,
+        }
+    }
+
+    /// Runs the command to its end.
+    pub async fn run(self) -> Result<Outcome> {
+        task::spawn_blocking(move || self.run_blocking()).await
+    }
+
+    fn run_blocking(self) -> Result<Outcome> {
+        let mut command = Command::new(path("almondwell")?);
+        command
+            .args(["publish", "--platform", &self.platform.to_string()])
+            .args(["--author", &self.author, "--patience", self.patience]);
+        for (name, text) in [("drafting", DRAFTING), ("orders", ORDERS)] {
+            let file = self.folder.join(format!("{name}-{}.ini", self.author));
+            std::fs::write(&file, text)?;
+            command.arg(file);
+        }
+        let output = command.output()?;
+        let text = String::from_utf8_lossy(&output.stdout);
+        let version = text
+            .trim()
+            .strip_prefix("published version ")
+            .and_then(|version| version.parse().ok());
+        Ok(Outcome {
+            errors: String::from_utf8_lossy(&output.stderr).into_owned(),
+            version: version.filter(|_| output.status.success()),
+        })
+    }
+}
+
+/// Versions in force at all entries and sides.
+pub async fn versions(set: &Set) -> Result<Vec<u64>> {
+    let entries = set.entries.iter().map(|entry| entry.admin);
+    let sides = set.upstreams.iter().map(|upstream| upstream.admin);
+    let mut versions = Vec::new();
+    for admin in entries.chain(sides) {
+        let status: Value = set.read(admin, "/status").await?;
+        versions.push(status["version"].as_u64().unwrap_or(0));
+    }
+    Ok(versions)
+}
+
+/// Waits until all entries and sides hold `version` or a later one; returns the time that took.
+pub async fn until_everywhere(set: &Set, version: u64, limit: Duration) -> Result<Duration> {
+    let start = Instant::now();
+    until("the version everywhere", limit, || async {
+        Ok(versions(set).await?.iter().all(|held| *held >= version))
+    })
+    .await?;
+    Ok(start.elapsed())
+}
--- /dev/null
+++ b/tests/tests/configuration.rs
@@ -0,0 +1,202 @@
+//! Publishing, and how a configuration reaches every process.
+
+use async_std::task;
+use eyre::{OptionExt, Result, ensure};
+use fakes::replacement::Place;
+use fakes::set::{Set, Settings, wait_ready};
+use serde_json::{Value, json};
+use std::time::Duration;
+use tests::cases;
+use tests::publish::{Outcome, Publish, until_everywhere, versions};
+
+/// Within which an accepted configuration is in force everywhere.
+const BOUND: Duration = Duration::from_secs(5);
+
+cases! {
+    a_publication_is_in_force_everywhere_within_seconds(many()) = spreads;
+    few_processes_watch_the_platform(many()) = few_watch;
+    the_loser_of_a_race_is_told_whom_it_lost_to(one()) = names_winner;
+    a_lost_reply_is_settled(one()) = settles_lost_reply;
+    a_lost_reply_is_settled_after_a_later_publication(one()) = settles_replaced;
+    a_late_write_that_loses_is_reported_as_lost(one()) = settles_late_loser;
+    a_late_write_that_wins_is_reported_as_published(one()) = settles_late_winner;
+    no_version_is_replaced_by_a_lower_one(many()) = never_reverts;
+    a_process_that_starts_during_an_outage_asks_its_peers(many()) = joins_from_peers;
+}
+
+fn many() -> Settings {
+    Settings {
+        engines: 4,
+        entries: 4,
+        plains: 1,
+        ..Settings::default()
+    }
+}
+
+fn one() -> Settings {
+    Settings {
+        engines: 1,
+        entries: 1,
+        plains: 0,
+        ..Settings::default()
+    }
+}
+
+async fn publish(set: &Set, author: &str) -> Result<u64> {
+    let outcome = Publish::new(set, author).run().await?;
+    outcome.version.ok_or_eyre(outcome.errors)
+}
+
+async fn spreads(set: Set) -> Result<()> {
+    let mut slowest = Duration::ZERO;
+    for _ in 0..10 {
+        let version = publish(&set, "mika").await?;
+        slowest = slowest.max(until_everywhere(&set, version, BOUND).await?);
+    }
+    println!("in force at 4 entries and 5 sides: slowest of 10 after {slowest:?}");
+    Ok(())
+}
+
+async fn few_watch(set: Set) -> Result<()> {
+    const TIME: Duration = Duration::from_secs(6);
+    const PROCESSES: u64 = 9;
+    task::sleep(Duration::from_secs(2)).await;
+    let before = set.read(set.platform, "/counts").await?;
+    task::sleep(TIME).await;
+    let after = set.read(set.platform, "/counts").await?;
+    let count = |counts: &Value| counts["watches"].as_u64().unwrap_or(0);
+    let watches = count(&after) - count(&before);
+    println!("{PROCESSES} processes, {TIME:?}: {watches} watches");
+    // Two watchers with a watch every two seconds, and now and then a read of the others.
+    ensure!(watches <= 2 * 4 + 3, "{watches} watches in {TIME:?}");
+    Ok(())
+}
+
+async fn names_winner(set: Set) -> Result<()> {
+    const AUTHORS: usize = 6;
+    // All read the same version before the first of them writes.
+    set.control(set.platform, &json!({"delay_ms": 400})).await?;
+    let races: Vec<_> = (0..AUTHORS)
+        .map(|number| task::spawn(Publish::new(&set, &format!("author{number}")).run()))
+        .collect();
+    let mut outcomes: Vec<Outcome> = Vec::new();
+    for race in races {
+        outcomes.push(race.await?);
+    }
+    set.control(set.platform, &json!({})).await?;
+    let winners: Vec<_> = (0..AUTHORS)
+        .filter(|number| outcomes[*number].version.is_some())
+        .collect();
+    ensure!(winners.len() == 1, "{outcomes:#?}");
+    let winner = winners[0];
+    let version = outcomes[winner].version.unwrap_or(0);
+    let expected = format!("lost to version {version} published by `author{winner}`");
+    for (number, outcome) in outcomes.iter().enumerate() {
+        let is_told = outcome.errors.contains(&expected);
+        ensure!(
+            number == winner || is_told,
+            "{outcome:#?}, not `{expected}`"
+        );
+    }
+    until_everywhere(&set, version, BOUND).await?;
+    Ok(())
+}
+
+async fn settles_lost_reply(set: Set) -> Result<()> {
+    let before = versions(&set).await?[0];
+    set.control(set.platform, &json!({"lose_replies": 1}))
+        .await?;
+    let version = publish(&set, "mika").await?;
+    until_everywhere(&set, version, BOUND).await?;
+    ensure!(version == before + 1, "{before} then {version}");
+    Ok(())
+}
+
+async fn settles_replaced(set: Set) -> Result<()> {
+    set.control(set.platform, &json!({"lose_replies": 1}))
+        .await?;
+    let first = task::spawn(Publish::new(&set, "mika").run());
+    task::sleep(Duration::from_millis(800)).await;
+    let second = publish(&set, "jan").await?;
+    let first = first.await?;
+    ensure!(first.version == Some(second), "{first:#?} then {second}");
+    Ok(())
+}
+
+async fn settles_late_loser(set: Set) -> Result<()> {
+    let late = json!({"late_writes": 1, "delay_ms": 3_000});
+    set.control(set.platform, &late).await?;
+    let first = task::spawn(Publish::new(&set, "mika").run());
+    task::sleep(Duration::from_millis(500)).await;
+    set.control(set.platform, &json!({})).await?;
+    let second = publish(&set, "jan").await?;
+    let first = first.await?;
+    let expected = format!("not published: lost to version {second} published by `jan`");
+    ensure!(first.version.is_none(), "{first:#?}");
+    ensure!(first.errors.contains(&expected), "{first:#?}");
+    // The write arrives after its publication was reported as lost.
+    task::sleep(Duration::from_secs(2)).await;
+    ensure!(versions(&set).await?.iter().all(|held| *held == second));
+    Ok(())
+}
+
+async fn settles_late_winner(set: Set) -> Result<()> {
+    let late = json!({"late_writes": 1, "delay_ms": 2_100});
+    set.control(set.platform, &late).await?;
+    let publication = task::spawn(Publish::new(&set, "mika").run());
+    task::sleep(Duration::from_millis(500)).await;
+    set.control(set.platform, &json!({})).await?;
+    let outcome = publication.await?;
+    let version = outcome.version.ok_or_eyre(outcome.errors)?;
+    until_everywhere(&set, version, BOUND).await?;
+    task::sleep(Duration::from_secs(1)).await;
+    ensure!(versions(&set).await?.iter().all(|held| *held == version));
+    Ok(())
+}
+
+/// Publishes again and again while processes are killed and replaced.
+async fn never_reverts(mut set: Set) -> Result<()> {
+    let mut highest = vec![0; set.entries.len() + set.upstreams.len()];
+    for round in 0..6 {
+        let version = publish(&set, "mika").await?;
+        for _ in 0..5 {
+            for (highest, held) in highest.iter_mut().zip(versions(&set).await?) {
+                ensure!(held >= *highest, "{held} after {highest}");
+                *highest = held;
+            }
+        }
+        until_everywhere(&set, version, BOUND).await?;
+        let entry = round % set.entries.len();
+        set.replace_entry(entry, Place::Same).await?;
+        wait_ready(set.entries[entry].admin, "/ready").await?;
+        let side = round % set.upstreams.len();
+        let id = set.upstreams[side].id.clone();
+        set.replace_side(side, &id, Place::Same).await?;
+        until_everywhere(&set, version, BOUND).await?;
+    }
+    Ok(())
+}
+
+async fn joins_from_peers(mut set: Set) -> Result<()> {
+    let version = publish(&set, "mika").await?;
+    until_everywhere(&set, version, BOUND).await?;
+    for faults in [json!({"down": true}), json!({"hang": true})] {
+        set.control(set.platform, &faults).await?;
+        let seeds = set.entries[1..]
+            .iter()
+            .map(|entry| entry.control.to_string());
+        let seeds = seeds.collect::<Vec<_>>().join(",");
+        let peers = ("peers".to_string(), seeds);
+        set.settings.entry_flags = vec![peers.clone()];
+        set.settings.side_flags = vec![peers];
+        set.replace_entry(0, Place::New).await?;
+        let id = set.upstreams[0].id.clone();
+        set.replace_side(0, &id, Place::Same).await?;
+        let time = until_everywhere(&set, version, BOUND).await?;
+        println!("started while {faults}: configuration after {time:?}");
+        wait_ready(set.entries[0].admin, "/ready").await?;
+        let answer = set.chat(0, "summary", "hammock", 2).await?;
+        ensure!(answer.status() == 200, "{}", answer.text());
+    }
+    Ok(())
+}
