--- a/fakes/src/platform.rs
+++ b/fakes/src/platform.rs
@@ -53,7 +53,11 @@
 
 #[derive(Default)]
 struct Counts {
+    /// Instance lists sent whole.
+    lists: u64,
     reads: u64,
+    /// Instance lists that were as the reader knew them.
+    unchanged: u64,
     watches: u64,
     writes: u64,
 }
@@ -107,7 +111,8 @@
         let state = platform.state();
         let counts = &state.counts;
         return Ok(json(
-            &json!({"reads": counts.reads, "watches": counts.watches, "writes": counts.writes}),
+            &json!({"lists": counts.lists, "reads": counts.reads, "unchanged": counts.unchanged,
+                "watches": counts.watches, "writes": counts.writes}),
         ));
     }
     if request.method() != Method::Get && path.starts_with("/instances/") {
@@ -124,8 +129,7 @@
         task::sleep(Duration::from_millis(faults.delay_ms)).await;
     }
     if path == "/instances" {
-        platform.state().counts.reads += 1;
-        return Ok(json(&json!(instances(platform))));
+        return Ok(instances(platform, &request));
     }
     if path == "/objects" {
         return Ok(list(platform, &url));
@@ -163,7 +167,26 @@
     Ok(status(StatusCode::Ok))
 }
 
-fn instances(platform: &Platform) -> Vec<Instance> {
+fn instances(platform: &Platform, request: &Request) -> Response {
+    platform.state().counts.reads += 1;
+    let list = json!(shown(platform)).to_string();
+    let tag = format!("\"{}\"", blake3::hash(list.as_bytes()).to_hex());
+    let held = request.header("If-None-Match");
+    let mut state = platform.state();
+    let mut response = if held.is_some_and(|held| held.as_str() == tag) {
+        state.counts.unchanged += 1;
+        status(StatusCode::NotModified)
+    } else {
+        state.counts.lists += 1;
+        let mut response = status(StatusCode::Ok);
+        response.set_body(list);
+        response
+    };
+    response.insert_header("ETag", tag);
+    response
+}
+
+fn shown(platform: &Platform) -> Vec<Instance> {
     let state = platform.state();
     state
         .instances
