Report every error of settings at once and prove bad input harmless

Cause: the INI library stops at the first syntax error and keeps no line numbers, so that one error hid others, errors across files named line 0 and a key that stood twice went unnoticed; settings that clash were found only when a bind failed; nothing showed what malformed input does.

Ruled out: parsing whole files and searching for lines afterwards, which finds the wrong line for a repeated key; the library now parses each line on its own. Listing the daemons' keys in a case file, since each new setting would change it; the schema's keys are compared instead.

Change: duplicates, names, missing keys and clashes between files name file and line; `--check` for both daemons; `--help` for each command; time limits of heads and bodies are settings. 44 raw requests with their answers, service files and commands as case files; strangers' datagrams and frames; slow, silent and surplus connections; a seeded run of random bytes over all ports.

--- a/almondwell/src/check.rs
+++ b/almondwell/src/check.rs
@@ -8,11 +8,21 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+const HELP: &str = "\
+checks service files and prints every error with its file and line
+
+usage: almondwell check FILES
+";
+
 /// Checks service files and prints every error.
 pub(crate) fn run(parser: &mut Parser) -> Result<ExitCode> {
     let mut files = Vec::new();
     while let Some(argument) = parser.next()? {
         match argument {
+            Long("help") | Short('h') => {
+                print!("{HELP}");
+                return Ok(ExitCode::SUCCESS);
+            }
             Value(path) => files.push(PathBuf::from(path)),
             Long(_) | Short(_) => return Err(argument.unexpected().into()),
         }
@@ -22,7 +32,10 @@
     }
     match service_file::read_all(&files, "") {
         Ok(config) => {
-            println!("{} service files are right", config.services.len());
+            match config.services.len() {
+                1 => println!("1 service file is right"),
+                count => println!("{count} service files are right"),
+            }
             Ok(ExitCode::SUCCESS)
         }
         Err(faults) => Ok(print(&faults)),
--- a/almondwell/src/publish.rs
+++ b/almondwell/src/publish.rs
@@ -1,6 +1,6 @@
 //! `almondwell publish FILES`.
 
-use crate::{check, configuration, service_file};
+use crate::{check, configuration, flag, service_file};
 use almondwell_platform::{Error, Expect, Objects, Written};
 use almondwell_schema::{Config, Version};
 use eyre::{Result, bail};
@@ -10,6 +10,16 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+const HELP: &str = "\
+checks service files and puts them in force as one version
+
+usage: almondwell publish --platform ADDRESS [--author NAME] FILES
+
+flags:
+  --author NAME       who publishes, for the loser of a race [$USER]
+  --platform ADDRESS  address of the object API
+";
+
 /// Checks service files and writes them as one version.
 pub(crate) fn run(parser: &mut Parser) -> Result<ExitCode> {
     let mut author = std::env::var("USER").unwrap_or_else(|_| "unknown".to_string());
@@ -18,7 +28,11 @@
     while let Some(argument) = parser.next()? {
         match argument {
             Long("author") => author = parser.value()?.string()?,
-            Long("platform") => platform = Some(parser.value()?.parse::<SocketAddr>()?),
+            Long("help") | Short('h') => {
+                print!("{HELP}");
+                return Ok(ExitCode::SUCCESS);
+            }
+            Long("platform") => platform = Some(flag::read::<SocketAddr>(parser, "platform")?),
             Value(path) => files.push(PathBuf::from(path)),
             Long(_) | Short(_) => return Err(argument.unexpected().into()),
         }
--- a/almondwell/src/receive.rs
+++ b/almondwell/src/receive.rs
@@ -12,8 +12,6 @@
 use http_types::{Request, StatusCode};
 use std::time::Duration;
 
-const BODY_TIMEOUT: Duration = Duration::from_secs(30);
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 const PIECE: usize = 16 << 10;
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -31,7 +29,7 @@
     tcp: &mut TcpStream,
     bytes: &mut Vec<u8>,
 ) -> io::Result<Result<Received<'a>, Refusal>> {
-    let head = match timeout(HEAD_TIMEOUT, read_head(tcp, bytes)).await {
+    let head = match timeout(entry.settings.head_timeout, read_head(tcp, bytes)).await {
         Ok(head) => head?,
         Err(_) => Err(too_slow("head")),
     };
@@ -46,7 +44,7 @@
     if head.expects_continue {
         tcp.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
     }
-    let request = match timeout(BODY_TIMEOUT, read_body(tcp, bytes, head)).await {
+    let request = match timeout(entry.settings.body_timeout, read_body(tcp, bytes, head)).await {
         Ok(request) => request?,
         Err(_) => Err(too_slow("body")),
     };
--- a/almondwell/src/report.rs
+++ b/almondwell/src/report.rs
@@ -2,7 +2,7 @@
 
 use crate::admin_client;
 use crate::report_lines::Lines;
-use crate::{report_html, report_text};
+use crate::{flag, report_html, report_text};
 use almondwell_schema::Report;
 use eyre::{Result, bail};
 use lexopt::Parser;
@@ -30,11 +30,11 @@
 
 /// Reads the reports of entries and prints them as one.
 pub(crate) fn run(parser: &mut Parser) -> Result<ExitCode> {
-    let mut entries = Vec::new();
+    let mut entries: Vec<SocketAddr> = Vec::new();
     let mut format = Format::Text;
     while let Some(argument) = parser.next()? {
         match argument {
-            Long("entry") => entries.push(parser.value()?.parse::<SocketAddr>()?),
+            Long("entry") => entries.push(flag::read(parser, "entry")?),
             Long("format") => format = read_format(&parser.value()?.string()?)?,
             Long("help") | Short('h') => {
                 print!("{HELP}");
--- a/almondwell/src/service_file.rs
+++ b/almondwell/src/service_file.rs
@@ -1,57 +1,62 @@
 //! Service files of operators.
 
-use almondwell_schema::{Class, Config, File, FileFault, Kind, Section, Service, Workspace};
-use std::collections::{BTreeMap, BTreeSet};
-use std::path::PathBuf;
+use crate::{service_check, service_clash};
+use almondwell_schema::{Class, Config, File, FileFault, Section, Service, Workspace, nearest};
+use std::path::{Path, PathBuf};
 
-const HIGHEST_TIER_NUMBER: u8 = 3;
+const SECTIONS: [&str; 3] = ["class", "service", "workspace"];
+
+/// A service and the file that describes it.
+#[derive(Debug)]
+pub(crate) struct Source {
+    pub(crate) file: File,
+    pub(crate) service: Service,
+}
 
 /// Reads all `files`; either every file is right or all errors are returned.
 pub(crate) fn read_all(files: &[PathBuf], author: &str) -> Result<Config, Vec<FileFault>> {
     let mut faults = Vec::new();
-    let mut services = Vec::new();
+    let mut sources = Vec::new();
     for path in files {
-        let name = path.display().to_string();
-        match std::fs::read_to_string(path) {
-            Ok(text) => services.extend(read(&name, &text, &mut faults)),
-            Err(error) => faults.push(FileFault {
-                file: name.into(),
-                line: 0,
-                message: format!("cannot be read: {error}").into(),
-            }),
-        }
+        let before = faults.len();
+        sources.extend(read(path, &mut faults));
+        faults[before..].sort_by_key(|fault| fault.line);
     }
-    check_across(files, &services, &mut faults);
+    service_clash::check(&sources, &mut faults);
     if !faults.is_empty() {
         return Err(faults);
     }
     Ok(Config {
         author: author.into(),
-        services,
+        services: sources.into_iter().map(|source| source.service).collect(),
     })
 }
 
 /// Reads one service file, adding all its errors to `faults`.
-pub(crate) fn read(name: &str, text: &str, faults: &mut Vec<FileFault>) -> Option<Service> {
-    let file = match File::parse(name, text) {
-        Ok(file) => file,
-        Err(fault) => {
-            faults.push(fault);
+fn read(path: &Path, faults: &mut Vec<FileFault>) -> Option<Source> {
+    let name = path.display().to_string();
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(error) => {
+            faults.push(FileFault {
+                file: name.into(),
+                line: 0,
+                message: format!("cannot be read: {error}").into(),
+            });
             return None;
         }
     };
-    let before = faults.len();
+    let file = File::parse(&name, &text, faults);
     let mut service = Service::default();
     for section in &file.sections {
-        read_section(&file, text, section, &mut service, faults);
+        read_section(&file, section, &mut service, faults);
     }
-    check(&file, text, &service, faults);
-    (faults.len() == before).then_some(service)
+    service_check::check(&file, &service, faults);
+    Some(Source { file, service })
 }
 
 fn read_section(
     file: &File,
-    text: &str,
     section: &Section,
     service: &mut Service,
     faults: &mut Vec<FileFault>,
@@ -61,132 +66,38 @@
         None => (&*section.title, ""),
     };
     match (kind, name) {
-        ("service", "") => file.apply(text, section, service, faults),
+        ("service", "") => file.apply(section, service, faults),
         ("class", name) if !name.is_empty() => {
             let mut class = Class::default();
-            file.apply(text, section, &mut class, faults);
+            file.apply(section, &mut class, faults);
             service.classes.insert(name.into(), class);
         }
         ("workspace", name) if !name.is_empty() => {
             let mut workspace = Workspace::default();
-            file.apply(text, section, &mut workspace, faults);
+            file.apply(section, &mut workspace, faults);
             service.workspaces.insert(name.into(), workspace);
         }
-        _ => {
-            let message = format!(
-                "unknown section `[{}]`; expected `[service]`, `[class NAME]` or `[workspace NAME]`",
-                section.title
-            );
-            faults.push(file.fault(text, &section.title, None, &message));
-        }
+        (kind, name) => faults.push(FileFault {
+            file: file.name.clone(),
+            line: section.line.max(1),
+            message: unknown_section(&section.title, kind, name).into(),
+        }),
     }
 }
 
-/// Checks what no single key can show.
-fn check(file: &File, text: &str, service: &Service, faults: &mut Vec<FileFault>) {
-    let mut fault = |title: &str, key: Option<&str>, message: &str| {
-        faults.push(file.fault(text, title, key, message));
-    };
-    if service.name.is_empty() {
-        fault(
-            "service",
-            None,
-            "`name` is missing from `[service]`; expected the service's name",
-        );
-    }
-    if service.pool.is_empty() {
-        fault(
-            "service",
-            None,
-            "`pool` is missing from `[service]`; expected a pool of the instance list",
-        );
-    }
-    match (service.kind, service.model.is_empty()) {
-        (Kind::Engine, true) => fault(
-            "service",
-            None,
-            "`model` is missing; an engine service needs one",
-        ),
-        (Kind::Plain, false) => fault("service", Some("model"), "a plain service has no `model`"),
-        (Kind::Engine, false) | (Kind::Plain, true) => {}
+fn unknown_section(title: &str, kind: &str, name: &str) -> String {
+    let expected = "expected `[service]`, `[class NAME]` or `[workspace NAME]`";
+    if title.is_empty() {
+        return format!("keys stand before the first section; {expected}");
     }
-    if !service.classes.contains_key(&service.class) {
-        let message = format!(
-            "`class = {}`: expected the name of a `[class NAME]` section",
-            service.class
-        );
-        fault("service", Some("class"), &message);
-    }
-    for (name, class) in &service.classes {
-        let title = format!("class {name}");
-        if class.tier > HIGHEST_TIER_NUMBER {
-            fault(
-                &title,
-                Some("tier"),
-                &format!(
-                    "`tier = {}`: expected 0 to {HIGHEST_TIER_NUMBER}",
-                    class.tier
-                ),
-            );
-        }
-        if class.attainment == 0 || class.attainment >= 1000 {
-            fault(
-                &title,
-                Some("attainment"),
-                "`attainment`: expected thousandths from 1 to 999",
-            );
-        }
-        if class.first_token > class.deadline {
-            fault(
-                &title,
-                Some("first_token"),
-                "`first_token` is longer than `deadline`",
-            );
-        }
-    }
-    for (name, workspace) in &service.workspaces {
-        let title = format!("workspace {name}");
-        if workspace.key.is_empty() {
-            fault(
-                &title,
-                None,
-                "`key` is missing; expected the bearer key of the workspace's callers",
-            );
-        }
-        if workspace.share == 0 {
-            fault(&title, Some("share"), "`share = 0`: expected 1 or more");
-        }
-    }
-}
-
-/// Checks that names, models and keys of several files do not clash.
-fn check_across(files: &[PathBuf], services: &[Service], faults: &mut Vec<FileFault>) {
-    let mut names = BTreeSet::new();
-    let mut models = BTreeSet::new();
-    let mut keys: BTreeMap<&str, &str> = BTreeMap::new();
-    let mut fault = |message: String| {
-        let file = files.first().map(|path| path.display().to_string());
-        faults.push(FileFault {
-            file: file.unwrap_or_default().into(),
-            line: 0,
-            message: message.into(),
-        });
-    };
-    for service in services {
-        if !names.insert(&service.name) {
-            fault(format!("service `{}` is described twice", service.name));
-        }
-        if !service.model.is_empty() && !models.insert(&service.model) {
-            fault(format!("model `{}` belongs to two services", service.model));
-        }
-        for (name, workspace) in &service.workspaces {
-            if let Some(other) = keys.insert(&workspace.key, name)
-                && other != &**name
-            {
-                fault(format!(
-                    "workspaces `{other}` and `{name}` have the same key"
-                ));
-            }
+    match nearest(kind, SECTIONS.into_iter()) {
+        Some(nearest) if nearest != kind => {
+            let meant = format!("{nearest} {name}");
+            format!(
+                "unknown section `[{title}]`; did you mean `[{}]`?",
+                meant.trim()
+            )
         }
+        Some(_) | None => format!("unknown section `[{title}]`; {expected}"),
     }
 }
--- a/almondwell/src/status.rs
+++ b/almondwell/src/status.rs
@@ -1,10 +1,10 @@
 //! `almondwell status`.
 
-use crate::admin_client;
+use crate::{admin_client, flag};
 use almondwell_schema::Status;
 use eyre::{Result, bail};
 use lexopt::Parser;
-use lexopt::prelude::{Long, Short, Value, ValueExt};
+use lexopt::prelude::{Long, Short, Value};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
@@ -20,10 +20,11 @@
 
 /// Reads the status of instances and prints it, one a line.
 pub(crate) fn run(parser: &mut Parser) -> Result<ExitCode> {
-    let mut instances = Vec::new();
+    let mut instances: Vec<SocketAddr> = Vec::new();
     while let Some(argument) = parser.next()? {
         match argument {
-            Long("entry" | "side") => instances.push(parser.value()?.parse::<SocketAddr>()?),
+            Long("entry") => instances.push(flag::read(parser, "entry")?),
+            Long("side") => instances.push(flag::read(parser, "side")?),
             Long("help") | Short('h') => {
                 print!("{HELP}");
                 return Ok(ExitCode::SUCCESS);
--- a/almondwell/src/subcommand.rs
+++ b/almondwell/src/subcommand.rs
@@ -18,6 +18,8 @@
   report           prints the service-level burn
   serve            runs an entry
   status           prints the configuration in force at each instance
+
+`almondwell COMMAND --help` shows the flags of a command
 ";
 
 const COMMANDS: [&str; 5] = ["check", "publish", "report", "serve", "status"];
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! What almondwell's daemons share: settings, clock, signals, logs and pages.
 
 mod arguments;
+mod check;
 mod clock;
 mod counts;
 mod gone;
@@ -10,6 +11,7 @@
 mod stop;
 
 pub use arguments::{Command, parse};
+pub use check::{Check, Invalid};
 pub use clock::Clock;
 pub use counts::Counts;
 pub use gone::gone;
--- /dev/null
+++ b/schema/src/fault.rs
@@ -0,0 +1,23 @@
+//! Errors in settings files.
+
+use std::fmt::{self, Display, Formatter};
+
+/// One error in a settings file.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault {
+    /// File that holds the error.
+    pub file: Box<str>,
+    /// Line number from 1; 0 when the error has no line.
+    pub line: usize,
+    /// What is wrong and what was expected.
+    pub message: Box<str>,
+}
+
+impl Display for Fault {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self.line {
+            0 => write!(f, "{}: {}", self.file, self.message),
+            line => write!(f, "{}:{line}: {}", self.file, self.message),
+        }
+    }
+}
--- a/schema/src/file.rs
+++ b/schema/src/file.rs
@@ -1,7 +1,9 @@
 //! Settings files in INI.
 
+use crate::fault::Fault;
+use crate::line::Line;
 use crate::{Settings, Unset, nearest};
-use std::fmt::{self, Display, Formatter};
+use std::collections::BTreeMap;
 
 /// A parsed INI file that remembers where each key stands.
 #[derive(Clone, Debug)]
@@ -16,109 +18,130 @@
 #[derive(Clone, Debug)]
 pub struct Section {
     /// Keys and values in the order of the file.
-    pub entries: Vec<(Box<str>, Box<str>)>,
+    pub entries: Vec<Entry>,
+    /// Line of the heading; 0 for what stands before all headings.
+    pub line: usize,
     /// Text between the brackets.
     pub title: Box<str>,
 }
 
-/// One error in a settings file.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Fault {
-    /// File that holds the error.
-    pub file: Box<str>,
-    /// Line number from 1; 0 when the error has no line.
+/// One key of a section.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Text before the `=`.
+    pub key: Box<str>,
+    /// Line number from 1.
     pub line: usize,
-    /// What is wrong and what was expected.
-    pub message: Box<str>,
-}
-
-impl Display for Fault {
-    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}: {}", self.file, self.line, self.message)
-    }
+    /// Text after the `=`.
+    pub value: Box<str>,
 }
 
 impl File {
-    /// Parses `text`; `name` is shown in errors.
-    pub fn parse(name: &str, text: &str) -> Result<Self, Fault> {
-        let ini = ini::Ini::load_from_str_noescape(text).map_err(|error| Fault {
-            file: name.into(),
-            line: error.line + 1,
-            message: format!("{}; expected `[section]` or `key = value`", error.msg).into(),
-        })?;
-        let sections = ini
-            .iter()
-            .filter(|(title, properties)| title.is_some() || !properties.is_empty())
-            .map(|(title, properties)| Section {
-                entries: properties
-                    .iter()
-                    .map(|(key, value)| (key.into(), value.into()))
-                    .collect(),
-                title: title.unwrap_or_default().into(),
-            })
-            .collect();
-        Ok(Self {
+    /// Parses `text`; `name` is shown in errors, which are added to `faults`.
+    pub fn parse(name: &str, text: &str, faults: &mut Vec<Fault>) -> Self {
+        let mut file = Self {
             name: name.into(),
-            sections,
-        })
+            sections: Vec::new(),
+        };
+        for (index, text) in text.lines().enumerate() {
+            let line = index + 1;
+            match Line::parse(text) {
+                Some(Line::Blank) => {}
+                Some(Line::Entry { key, value }) => file.add(Entry { key, line, value }),
+                Some(Line::Heading(title)) => file.sections.push(Section {
+                    entries: Vec::new(),
+                    line,
+                    title,
+                }),
+                None => {
+                    let message = "malformed line; expected `[section]` or `key = value`";
+                    faults.push(file.fault_at(line, message));
+                }
+            }
+        }
+        file.check_duplicates(faults);
+        file
     }
 
-    /// Builds an error about `key` of the section `title`, found by reading `text` again.
-    pub fn fault(&self, text: &str, title: &str, key: Option<&str>, message: &str) -> Fault {
-        Fault {
-            file: self.name.clone(),
-            line: line_of(text, title, key),
-            message: message.into(),
-        }
+    /// Builds an error about `key` of the section `title`, or about the section itself.
+    pub fn fault(&self, title: &str, key: Option<&str>, message: &str) -> Fault {
+        self.fault_at(self.line(title, key), message)
     }
 
-    /// Applies the section `title` to `settings`; adds what is wrong to `faults`.
-    pub fn apply<S: Settings>(
-        &self,
-        text: &str,
-        section: &Section,
-        settings: &mut S,
-        faults: &mut Vec<Fault>,
-    ) {
-        for (key, value) in &section.entries {
+    /// Line of `key` in the section `title`, or of the section's heading; 0 when there is neither.
+    pub fn line(&self, title: &str, key: Option<&str>) -> usize {
+        let section = self
+            .sections
+            .iter()
+            .find(|section| &*section.title == title);
+        let Some(section) = section else { return 0 };
+        section
+            .entries
+            .iter()
+            .find(|entry| Some(&*entry.key) == key)
+            .map_or(section.line, |entry| entry.line)
+    }
+
+    /// Applies `section` to `settings`; adds what is wrong to `faults`.
+    pub fn apply<S: Settings>(&self, section: &Section, settings: &mut S, faults: &mut Vec<Fault>) {
+        for Entry { key, line, value } in &section.entries {
             let message = match settings.set(key, value) {
                 Ok(()) => continue,
                 Err(Unset::Expected(expected)) => {
                     format!("`{key} = {value}`: expected {expected}")
                 }
-                Err(Unset::UnknownKey) => unknown_key(key, S::KEYS.iter().map(|key| key.name)),
+                Err(Unset::UnknownKey) => unknown_key::<S>(key),
             };
-            faults.push(self.fault(text, &section.title, Some(key), &message));
+            faults.push(self.fault_at(*line, &message));
         }
     }
-}
 
-fn unknown_key<'a>(key: &str, known: impl Iterator<Item = &'a str>) -> String {
-    match nearest(key, known) {
-        Some(name) => format!("unknown key `{key}`; did you mean `{name}`?"),
-        None => format!("unknown key `{key}`"),
+    fn add(&mut self, entry: Entry) {
+        if self.sections.is_empty() {
+            self.sections.push(Section {
+                entries: Vec::new(),
+                line: 0,
+                title: "".into(),
+            });
+        }
+        if let Some(section) = self.sections.last_mut() {
+            section.entries.push(entry);
+        }
     }
-}
 
-fn line_of(text: &str, title: &str, key: Option<&str>) -> usize {
-    let mut current = "";
-    let mut heading = 0;
-    for (index, line) in text.lines().enumerate() {
-        let line = line.trim();
-        if let Some(name) = line
-            .strip_prefix('[')
-            .and_then(|rest| rest.strip_suffix(']'))
-        {
-            current = name.trim();
-            if current == title {
-                heading = index + 1;
-                if key.is_none() {
-                    return heading;
+    fn check_duplicates(&self, faults: &mut Vec<Fault>) {
+        let mut titles = BTreeMap::new();
+        for section in &self.sections {
+            let title = &section.title;
+            if let Some(first) = titles.insert(title, section.line) {
+                let message = format!("`[{title}]` stands twice; it is on line {first} too");
+                faults.push(self.fault_at(section.line, &message));
+            }
+            let mut keys = BTreeMap::new();
+            for entry in &section.entries {
+                let key = &entry.key;
+                if let Some(first) = keys.insert(key, entry.line) {
+                    let message =
+                        format!("`{key}` stands twice in `[{title}]`; it is on line {first} too");
+                    faults.push(self.fault_at(entry.line, &message));
                 }
             }
-        } else if current == title && line.split(['=', ':']).next().map(str::trim) == key {
-            return index + 1;
         }
     }
-    heading
+
+    fn fault_at(&self, line: usize, message: &str) -> Fault {
+        Fault {
+            file: self.name.clone(),
+            line,
+            message: message.into(),
+        }
+    }
+}
+
+fn unknown_key<S: Settings>(key: &str) -> String {
+    let names: Vec<_> = S::KEYS.iter().map(|key| key.name).collect();
+    if let Some(name) = nearest(key, names.iter().copied()) {
+        return format!("unknown key `{key}`; did you mean `{name}`?");
+    }
+    format!("unknown key `{key}`; expected one of {}", names.join(", "))
 }
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -610,6 +610,10 @@
     pub refresh: Duration,
     /// Callers' connections served at once.
     pub connections: u32,
+    /// Time in which a request's head has to arrive.
+    pub head_timeout: Duration,
+    /// Time in which a request's body has to arrive.
+    pub body_timeout: Duration,
     /// Bytes that bodies of requests may hold together.
     pub body_memory: u64,
     /// Fast window of the service-level report.
@@ -631,6 +635,8 @@
             samples: crate::default_of("3"),
             refresh: crate::default_of("1s"),
             connections: crate::default_of("4096"),
+            head_timeout: crate::default_of("10s"),
+            body_timeout: crate::default_of("30s"),
             body_memory: crate::default_of("134217728"),
             fast_window: crate::default_of("5m"),
             slow_window: crate::default_of("1h"),
@@ -694,6 +700,16 @@
             default: "4096",
             description: "Callers' connections served at once.",
         },
+        Key {
+            name: "head_timeout",
+            default: "10s",
+            description: "Time in which a request's head has to arrive.",
+        },
+        Key {
+            name: "body_timeout",
+            default: "30s",
+            description: "Time in which a request's body has to arrive.",
+        },
         Key {
             name: "body_memory",
             default: "134217728",
@@ -756,6 +772,14 @@
                 self.connections = <u32 as Setting>::read(value)
                     .ok_or(Unset::Expected(<u32 as Setting>::EXPECTED))?;
             }
+            "head_timeout" => {
+                self.head_timeout = <Duration as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
+            }
+            "body_timeout" => {
+                self.body_timeout = <Duration as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
+            }
             "body_memory" => {
                 self.body_memory = <u64 as Setting>::read(value)
                     .ok_or(Unset::Expected(<u64 as Setting>::EXPECTED))?;
--- a/schema/src/lib.rs
+++ b/schema/src/lib.rs
@@ -2,14 +2,17 @@
 //!
 //! The types come from `schema.json`; `schema-gen` writes `generated.rs`.
 
+mod fault;
 mod file;
 #[allow(clippy::all, clippy::pedantic)]
 #[rustfmt::skip]
 mod generated;
+mod line;
 mod setting;
 mod settings;
 
-pub use file::{Fault as FileFault, File, Section};
+pub use fault::Fault as FileFault;
+pub use file::{Entry as FileEntry, File, Section};
 pub use generated::*;
 pub use setting::Setting;
 pub use settings::{Key, Settings, Unset, nearest};
--- a/tests/tests/main.rs
+++ b/tests/tests/main.rs
@@ -1,5 +1,8 @@
 //! Integration tests over real processes, a module per feature.
 
+mod bad_input;
 mod callers;
+mod cli;
 mod path;
+mod raw;
 mod report;
