--- a/almondwell/src/publish.rs
+++ b/almondwell/src/publish.rs
@@ -1,10 +1,9 @@
 //! `almondwell publish FILES`.
 
 use crate::publication::Publication;
-use crate::{check, service_file};
+use crate::{check, flag, service_file};
 use almondwell_platform::Objects;
-use almondwell_schema::Setting;
-use eyre::{OptionExt, Result, bail};
+use eyre::{Result, bail};
 use lexopt::Parser;
 use lexopt::prelude::{Long, Short, Value, ValueExt};
 use std::net::SocketAddr;
@@ -15,6 +14,17 @@
 /// Time for which a platform that does not answer is tried.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+const HELP: &str = "\
+checks service files and puts them in force as one version
+
+usage: almondwell publish --platform ADDRESS [FLAGS] FILES
+
+flags:
+  --author NAME        who publishes, for the loser of a race [$USER]
+  --patience DURATION  time for which a platform that does not answer is tried [20s]
+  --platform ADDRESS   address of the object API
+";
+
 /// Checks service files and writes them as one version.
 pub(crate) fn run(parser: &mut Parser) -> Result<ExitCode> {
     let mut author = std::env::var("USER").unwrap_or_else(|_| "unknown".to_string());
@@ -24,8 +34,12 @@
     while let Some(argument) = parser.next()? {
         match argument {
             Long("author") => author = parser.value()?.string()?,
-            Long("patience") => patience = read_patience(&parser.value()?.string()?)?,
-            Long("platform") => platform = Some(parser.value()?.parse::<SocketAddr>()?),
+            Long("help") | Short('h') => {
+                print!("{HELP}");
+                return Ok(ExitCode::SUCCESS);
+            }
+            Long("patience") => patience = flag::read(parser, "patience")?,
+            Long("platform") => platform = Some(flag::read::<SocketAddr>(parser, "platform")?),
             Value(path) => files.push(PathBuf::from(path)),
             Long(_) | Short(_) => return Err(argument.unexpected().into()),
         }
@@ -45,10 +59,3 @@
     println!("published version {version}");
     Ok(ExitCode::SUCCESS)
 }
-
-fn read_patience(text: &str) -> Result<Duration> {
-    Duration::read(text).ok_or_eyre(format!(
-        "--patience {text}: expected {}",
-        Duration::EXPECTED
-    ))
-}
--- a/tests/tests/main.rs
+++ b/tests/tests/main.rs
@@ -1,8 +1,11 @@
 //! Integration tests over real processes, a module per feature.
 
+mod bad_input;
 mod callers;
+mod cli;
 mod configuration;
 mod membership;
 mod path;
+mod raw;
 mod report;
 mod stop;
--- a/tests/tests/stop.rs
+++ b/tests/tests/stop.rs
@@ -141,10 +141,31 @@
         body.len()
     );
     tcp.write_all(text.as_bytes()).await?;
+    async_std::future::timeout(STOP_TIME, read_answer(tcp)).await?
+}
+
+/// Reads one whole answer, which may arrive in several pieces.
+async fn read_answer(tcp: &mut TcpStream) -> Result<String> {
+    let mut bytes = Vec::new();
     let mut buffer = [0; 4096];
-    let read = async_std::future::timeout(STOP_TIME, tcp.read(&mut buffer)).await??;
-    ensure!(read > 0, "the connection was closed without an answer");
-    Ok(String::from_utf8_lossy(&buffer[..read]).into_owned())
+    while !is_whole(&bytes) {
+        let read = tcp.read(&mut buffer).await?;
+        let text = String::from_utf8_lossy(&bytes);
+        ensure!(read > 0, "the connection was closed after `{text}`");
+        bytes.extend_from_slice(&buffer[..read]);
+    }
+    Ok(String::from_utf8(bytes)?)
+}
+
+fn is_whole(bytes: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(bytes).to_lowercase();
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "));
+    length.and_then(|length| length.trim().parse().ok()) == Some(body.len())
 }
 
 async fn finishes_streams(mut set: Set) -> Result<()> {
