Measure the latency that the path adds and requests per core

Cause: nothing showed what the path costs beside a direct call.

Ruled out: separate runs of both ways, since the machine's load drifts; pairs in random order share it.

Change: `bench -- latency`.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -9,6 +9,7 @@
 mod counters;
 mod demo;
 mod fit;
+mod latency;
 mod load;
 mod series;
 mod slopes;
@@ -18,7 +19,7 @@
 use eyre::{Result, bail};
 use lexopt::prelude::{Value, ValueExt};
 
-const MEASUREMENTS: &str = "demo or slopes";
+const MEASUREMENTS: &str = "demo, latency or slopes";
 
 fn main() -> Result<()> {
     let mut parser = lexopt::Parser::from_env();
@@ -29,6 +30,7 @@
     };
     match name.as_str() {
         "demo" => demo::run(),
+        "latency" => latency::run(&mut parser),
         "slopes" => slopes::run(&mut parser),
         other => bail!("unknown measurement `{other}`; expected {MEASUREMENTS}"),
     }
