Prove that traffic goes on through outages of the platform

Cause: nothing showed what goes on, what waits and what is refused while the object API and the instance list refuse or hang.

Change: tests with real processes for refusals and hangs, a publication that waits or gives up, a side replaced or added during an outage, and bookings around one.

--- a/tests/tests/main.rs
+++ b/tests/tests/main.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod configuration;
 mod membership;
+mod outage;
 mod path;
 mod report;
 mod stop;
--- /dev/null
+++ b/tests/tests/outage.rs
@@ -0,0 +1,202 @@
+//! Outages of the platform, with traffic going on.
+
+use async_std::task::{self, JoinHandle};
+use eyre::{OptionExt, Result, ensure};
+use fakes::http::{Answer, call, request};
+use fakes::replacement::Place;
+use fakes::set::{Set, Settings, chat_body};
+use http_types::Method;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tests::cases;
+use tests::poll::until;
+use tests::publish::{Publish, until_everywhere, versions};
+
+/// Within which a configuration is in force everywhere after an outage.
+const BOUND: Duration = Duration::from_secs(5);
+const OUTAGE: Duration = Duration::from_secs(6);
+
+cases! {
+    traffic_goes_on_while_the_platform_refuses(Settings::default()) = goes_on_while_down;
+    traffic_goes_on_while_the_platform_hangs(Settings::default()) = goes_on_while_hung;
+    a_publication_waits_for_the_end_of_an_outage(Settings::default()) = publishes_after_outage;
+    a_publication_waits_for_the_end_of_a_hang(Settings::default()) = publishes_after_hang;
+    a_publication_that_gives_up_says_that_it_is_not_in_force(Settings::default()) = gives_up;
+    a_side_replaced_during_an_outage_gets_work(Settings::default()) = replaces_side;
+    sides_that_came_during_an_outage_are_used_after_it(Settings::default()) = catches_up;
+    a_refused_booking_has_not_run(Settings::default()) = refuses_truthfully;
+}
+
+/// Sends requests to both entries for `time`; all must be answered.
+async fn load(set: &Set, time: Duration) -> Result<(u64, Duration)> {
+    let start = Instant::now();
+    let mut slowest = Duration::ZERO;
+    let mut count = 0;
+    while start.elapsed() < time {
+        let begin = Instant::now();
+        let index = usize::from(count % 2 == 1);
+        let answer = set.chat(index, "summary", "hammock", 3).await?;
+        ensure!(answer.status() == 200, "{}", answer.text());
+        slowest = slowest.max(begin.elapsed());
+        count += 1;
+    }
+    Ok((count, slowest))
+}
+
+async fn goes_on_while_down(set: Set) -> Result<()> {
+    goes_on(&set, &json!({"down": true})).await
+}
+
+async fn goes_on_while_hung(set: Set) -> Result<()> {
+    goes_on(&set, &json!({"hang": true})).await
+}
+
+async fn goes_on(set: &Set, faults: &serde_json::Value) -> Result<()> {
+    let before = versions(set).await?;
+    set.control(set.platform, faults).await?;
+    let (count, slowest) = load(set, OUTAGE).await?;
+    println!("platform with {faults}: {count} answers in {OUTAGE:?}, slowest {slowest:?}");
+    ensure!(slowest < Duration::from_secs(2), "{slowest:?}");
+    ensure!(versions(set).await? == before);
+    Ok(())
+}
+
+async fn publishes_after_outage(set: Set) -> Result<()> {
+    publishes_after(&set, &json!({"down": true})).await
+}
+
+async fn publishes_after_hang(set: Set) -> Result<()> {
+    publishes_after(&set, &json!({"hang": true})).await
+}
+
+async fn publishes_after(set: &Set, faults: &serde_json::Value) -> Result<()> {
+    let before = versions(set).await?[0];
+    set.control(set.platform, faults).await?;
+    let publication = task::spawn(Publish::new(set, "mika").run());
+    load(set, OUTAGE).await?;
+    set.control(set.platform, &json!({})).await?;
+    let end = Instant::now();
+    let outcome = publication.await?;
+    let version = outcome.version.ok_or_eyre(outcome.errors)?;
+    ensure!(version > before);
+    let accepted = end.elapsed();
+    until_everywhere(set, version, BOUND).await?;
+    println!(
+        "{faults} over: accepted after {accepted:?}, everywhere after {:?}",
+        end.elapsed()
+    );
+    ensure!(end.elapsed() < BOUND, "{:?}", end.elapsed());
+    Ok(())
+}
+
+async fn gives_up(set: Set) -> Result<()> {
+    let before = versions(&set).await?;
+    set.control(set.platform, &json!({"down": true})).await?;
+    let mut publish = Publish::new(&set, "mika");
+    publish.patience = "1s";
+    let outcome = publish.run().await?;
+    ensure!(outcome.version.is_none(), "{outcome:?}");
+    ensure!(outcome.errors.contains("not published"), "{outcome:?}");
+    set.control(set.platform, &json!({})).await?;
+    task::sleep(Duration::from_secs(2)).await;
+    ensure!(versions(&set).await? == before);
+    Ok(())
+}
+
+async fn until_started(set: &Set, index: usize) -> Result<Duration> {
+    let engine = set.upstreams[index].address;
+    let started = async || {
+        let records = set.read(engine, "/records").await?;
+        Ok::<_, eyre::Report>(records["started"].as_u64())
+    };
+    let before = started().await?;
+    until("work at the engine", BOUND, || async {
+        load(set, Duration::from_millis(1)).await?;
+        Ok(started().await? > before)
+    })
+    .await
+}
+
+async fn replaces_side(mut set: Set) -> Result<()> {
+    set.control(set.platform, &json!({"down": true})).await?;
+    load(&set, Duration::from_secs(1)).await?;
+    let id = set.upstreams[0].id.clone();
+    set.replace_side(0, &id, Place::Same).await?;
+    let time = until_started(&set, 0).await?;
+    println!("side replaced at its address during an outage: work after {time:?}");
+    Ok(())
+}
+
+async fn catches_up(mut set: Set) -> Result<()> {
+    set.control(set.platform, &json!({"down": true})).await?;
+    set.add_engine().await?;
+    let new = set.upstreams.len() - 1;
+    load(&set, Duration::from_secs(3)).await?;
+    set.control(set.platform, &json!({})).await?;
+    let time = until_started(&set, new).await?;
+    println!("side that came during an outage: work {time:?} after its end");
+    Ok(())
+}
+
+/// Bookings under a store that goes away and comes back: each is answered, and what was refused
+/// as not run has not run.
+async fn refuses_truthfully(set: Set) -> Result<()> {
+    let mut bookings: Vec<JoinHandle<Result<(String, Answer)>>> = Vec::new();
+    for (round, faults) in [json!({}), json!({"down": true}), json!({})]
+        .iter()
+        .enumerate()
+    {
+        set.control(set.platform, faults).await?;
+        for number in 0..20 {
+            let key = format!("{round}-{number}");
+            let address = set.entries[number % 2].callers;
+            bookings.push(task::spawn(book(address, key)));
+            task::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    let mut refused = 0;
+    let mut outcomes = Vec::new();
+    for booking in bookings {
+        let (key, answer) = booking.await?;
+        outcomes.push((key, answer.status(), answer.header("Almondwell-Verdict")));
+    }
+    let records = set.read(set.upstreams[2].address, "/records").await?;
+    for (key, status, verdict) in outcomes {
+        let runs = records["runs"][key.as_str()].as_u64().unwrap_or(0);
+        match verdict.as_str() {
+            "ran" => ensure!(
+                runs == 1 && status == 200,
+                "`{key}` ran {runs} times: {status}"
+            ),
+            "not-run" => {
+                ensure!(
+                    runs == 0,
+                    "`{key}` was refused as not run and ran {runs} times"
+                );
+                refused += 1;
+            }
+            _ => ensure!(runs <= 1, "`{key}` ran {runs} times"),
+        }
+    }
+    println!("60 bookings around an outage: {refused} refused as not run");
+    Ok(())
+}
+
+async fn book(address: SocketAddr, key: String) -> Result<(String, Answer)> {
+    let headers = [
+        ("Authorization", "Bearer retail-key"),
+        ("Idempotency-Key", key.as_str()),
+        ("Almondwell-Deadline", "5s"),
+    ];
+    let body = chat_body(&key, 1, false);
+    let request = request(
+        Method::Post,
+        address,
+        "/v1/services/orders/booking",
+        &headers,
+        body,
+    );
+    let answer = call(address, request, Duration::from_secs(30)).await?;
+    Ok((key, answer))
+}
