--- a/tests/tests/main.rs
+++ b/tests/tests/main.rs
@@ -5,6 +5,7 @@
 mod cli;
 mod configuration;
 mod membership;
+mod outage;
 mod path;
 mod raw;
 mod report;
