Put proxies before the platform, sides and upstreams of a set

Cause: the proxy passed TCP only, could not lose, cap or cut after a number of bytes, and stood before nothing in a set, so no proof ran behind it. Change: one proxy forwards TCP and UDP on the same port, each way with its own delay, jitter, drop share, bandwidth, freeze, cut and cut after N bytes, drawn from a seed; it passes half-closed connections on. `Settings.proxied` puts one before the platform, each side and each upstream. Processes can be restarted with the same arguments, and the plain service keeps its runs in a file, so that they outlive a kill and can be counted afterwards. Ruled out: proxies as processes of their own; in the test's process they need no control calls and end with the set.

--- a/fakes/src/plain.rs
+++ b/fakes/src/plain.rs
@@ -7,7 +7,10 @@
 use serde::Deserialize;
 use serde_json::json;
 use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{Read, Write};
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -15,6 +18,8 @@
 pub struct Settings {
     /// Address it listens on.
     pub address: SocketAddr,
+    /// File that keeps the runs when the process is killed.
+    pub records: Option<PathBuf>,
     /// Time one call takes.
     pub work: Duration,
 }
@@ -24,6 +29,7 @@
     pub fn read(flags: &Flags) -> Result<Self> {
         Ok(Self {
             address: address(flags, "address")?,
+            records: flags.get("records").map(PathBuf::from),
             work: Duration::from_millis(flag(flags, "work-ms", 5)?),
         })
     }
@@ -42,12 +48,49 @@
 #[derive(Default)]
 struct State {
     faults: Faults,
+    records: Option<File>,
     runs: BTreeMap<String, u64>,
 }
 
+impl State {
+    /// Reads back the runs of an earlier process.
+    fn load(path: &Path) -> Result<Self> {
+        let mut file = File::options()
+            .append(true)
+            .create(true)
+            .read(true)
+            .open(path)?;
+        let mut text = String::new();
+        file.read_to_string(&mut text)?;
+        let mut runs = BTreeMap::new();
+        for key in text.lines() {
+            *runs.entry(key.to_string()).or_default() += 1;
+        }
+        Ok(Self {
+            faults: Faults::default(),
+            records: Some(file),
+            runs,
+        })
+    }
+
+    /// Counts a run under `key` and returns its number.
+    fn count(&mut self, key: &str) -> std::io::Result<u64> {
+        if let Some(file) = &mut self.records {
+            file.write_all(format!("{key}\n").as_bytes())?;
+        }
+        let run = self.runs.entry(key.to_string()).or_default();
+        *run += 1;
+        Ok(*run)
+    }
+}
+
 /// Serves until the process ends.
 pub async fn serve(settings: Settings) -> Result<()> {
-    let state = Arc::new(Mutex::new(State::default()));
+    let state = match &settings.records {
+        Some(path) => State::load(path)?,
+        None => State::default(),
+    };
+    let state = Arc::new(Mutex::new(state));
     let work = settings.work;
     listen(settings.address, move |request| {
         let state = state.clone();
@@ -86,12 +129,7 @@
         .header("Idempotency-Key")
         .map(|values| values.as_str().to_string())
         .unwrap_or_default();
-    let run = {
-        let mut state = lock(state);
-        let run = state.runs.entry(key.clone()).or_default();
-        *run += 1;
-        *run
-    };
+    let run = lock(state).count(&key)?;
     let slow = Duration::from_millis(lock(state).faults.slow_ms);
     task::sleep(work + slow).await;
     Ok(json(&json!({"key": key, "run": run, "echo": body})))
--- a/fakes/src/process.rs
+++ b/fakes/src/process.rs
@@ -10,21 +10,26 @@
 
 /// A child process that is killed when dropped.
 pub struct Process {
+    arguments: Vec<String>,
     child: Child,
+    program: String,
 }
 
 impl Process {
     /// Starts `program` of this workspace.
     pub fn start(program: &str, arguments: &[String]) -> Result<Self> {
-        let mut command = Command::new(path(program)?);
-        command.args(arguments).stdin(Stdio::null());
-        if std::env::var_os("ALMONDWELL_LOGS").is_none() {
-            command.stdout(Stdio::null()).stderr(Stdio::null());
-        }
-        let child = command
-            .spawn()
-            .wrap_err_with(|| format!("cannot start `{program}`"))?;
-        Ok(Self { child })
+        Ok(Self {
+            arguments: arguments.to_vec(),
+            child: spawn(program, arguments)?,
+            program: program.to_string(),
+        })
+    }
+
+    /// Kills the process and starts it again with the same arguments.
+    pub fn restart(&mut self) -> Result<()> {
+        self.kill();
+        self.child = spawn(&self.program, &self.arguments)?;
+        Ok(())
     }
 
     /// Process id.
@@ -71,6 +76,17 @@
     }
 }
 
+fn spawn(program: &str, arguments: &[String]) -> Result<Child> {
+    let mut command = Command::new(path(program)?);
+    command.args(arguments).stdin(Stdio::null());
+    if std::env::var_os("ALMONDWELL_LOGS").is_none() {
+        command.stdout(Stdio::null()).stderr(Stdio::null());
+    }
+    command
+        .spawn()
+        .wrap_err_with(|| format!("cannot start `{program}`"))
+}
+
 /// Path of the program `name`, built in this process's own profile.
 pub fn path(name: &str) -> Result<PathBuf> {
     static FOLDER: OnceLock<PathBuf> = OnceLock::new();
--- a/fakes/src/proxy.rs
+++ b/fakes/src/proxy.rs
@@ -1,17 +1,23 @@
-//! TCP proxy that delays, cuts, freezes and slows connections.
+//! Proxy that forwards TCP and UDP on one port and delays, cuts, freezes, drops and slows each way.
 
-use crate::server::{Flags, address, json, listen, status};
-use async_std::io::{ReadExt, WriteExt};
-use async_std::net::{Shutdown, TcpListener, TcpStream};
-use async_std::task;
+mod faults;
+mod tcp;
+mod udp;
+mod way;
+
+use crate::process::free_address;
+use crate::server::{Flags, address, flag, json, listen, status};
+use async_std::net::{TcpListener, UdpSocket};
+use async_std::task::{self, JoinHandle};
 use eyre::Result;
 use http_types::{Request, Response, StatusCode};
-use serde::Deserialize;
 use serde_json::json;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::sync::Arc;
+
+pub use faults::{Fault, Faults};
+
+use way::Way;
 
 /// Command line of the proxy.
 #[derive(Clone, Copy)]
@@ -20,6 +26,8 @@
     pub address: SocketAddr,
     /// Address of its control page.
     pub control: SocketAddr,
+    /// Seed of its jitter and drops.
+    pub seed: u64,
     /// Address it connects to.
     pub target: SocketAddr,
 }
@@ -30,102 +38,101 @@
         Ok(Self {
             address: address(flags, "address")?,
             control: address(flags, "control")?,
+            seed: flag(flags, "seed", 0)?,
             target: address(flags, "target")?,
         })
     }
 }
 
-/// Faults on all connections, `POST /control`.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
-#[serde(default)]
-struct Faults {
-    /// Closes connections and accepts no more.
-    cut: bool,
-    /// Delay of each piece in milliseconds.
-    delay_ms: u64,
-    /// Passes nothing on, and closes nothing.
-    freeze: bool,
-    /// Limit in bytes a second; 0 for none.
-    bandwidth: u64,
+/// Both ways between clients and the target.
+pub(crate) struct Ways {
+    /// From the target to clients.
+    pub(crate) backward: Arc<Way>,
+    /// From clients to the target.
+    pub(crate) forward: Arc<Way>,
 }
 
-struct Proxy {
-    bytes: AtomicU64,
-    faults: Mutex<Faults>,
+/// A running proxy; it ends when dropped.
+pub struct Proxy {
+    address: SocketAddr,
+    tasks: Vec<JoinHandle<()>>,
+    ways: Arc<Ways>,
 }
 
 impl Proxy {
-    fn faults(&self) -> Faults {
-        *self.faults.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Forwards TCP and UDP from `address` to `target`.
+    pub async fn start(address: SocketAddr, target: SocketAddr, seed: u64) -> Result<Self> {
+        let ways = Arc::new(Ways {
+            backward: Arc::new(Way::new(seed)),
+            forward: Arc::new(Way::new(seed.wrapping_add(1))),
+        });
+        let listener = TcpListener::bind(address).await?;
+        let socket = UdpSocket::bind(address).await?;
+        let tasks = vec![
+            task::spawn(tcp::accept(listener, target, ways.clone())),
+            task::spawn(udp::forward(socket, target, ways.clone())),
+        ];
+        Ok(Self {
+            address,
+            tasks,
+            ways,
+        })
+    }
+
+    /// Forwards from a free loopback address to `target`.
+    pub async fn before(target: SocketAddr, seed: u64) -> Result<Self> {
+        Self::start(free_address()?, target, seed).await
+    }
+
+    /// Address it listens on.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Bytes passed on, both ways.
+    pub fn bytes(&self) -> u64 {
+        self.ways.backward.bytes() + self.ways.forward.bytes()
+    }
+
+    /// Datagrams dropped, both ways.
+    pub fn dropped(&self) -> u64 {
+        self.ways.backward.dropped() + self.ways.forward.dropped()
+    }
+
+    /// Replaces the faults of both ways.
+    pub fn set(&self, faults: Faults) {
+        self.ways.backward.set(faults.backward());
+        self.ways.forward.set(faults.forward());
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        for handle in self.tasks.drain(..) {
+            task::spawn(handle.cancel());
+        }
+        self.ways.backward.set(Fault::CUT);
+        self.ways.forward.set(Fault::CUT);
     }
 }
 
 /// Serves until the process ends.
 pub async fn serve(settings: Settings) -> Result<()> {
-    let proxy = Arc::new(Proxy {
-        bytes: AtomicU64::new(0),
-        faults: Mutex::default(),
-    });
-    let control = proxy.clone();
-    task::spawn(listen(settings.control, move |request| {
-        let proxy = control.clone();
-        async move { handle(&proxy, request).await }
-    }));
-    let listener = TcpListener::bind(settings.address).await?;
-    loop {
-        let (inbound, _) = listener.accept().await?;
+    let proxy = Proxy::start(settings.address, settings.target, settings.seed).await?;
+    let proxy = Arc::new(proxy);
+    listen(settings.control, move |request| {
         let proxy = proxy.clone();
-        task::spawn(async move {
-            let _ = forward(&proxy, inbound, settings.target).await;
-        });
-    }
+        async move { handle(&proxy, request).await }
+    })
+    .await
 }
 
 async fn handle(proxy: &Proxy, mut request: Request) -> http_types::Result<Response> {
     if request.url().path() == "/counts" {
         return Ok(json(
-            &json!({ "bytes": proxy.bytes.load(Ordering::Relaxed) }),
+            &json!({ "bytes": proxy.bytes(), "dropped": proxy.dropped() }),
         ));
     }
-    let faults = request.body_json().await?;
-    *proxy.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
+    proxy.set(request.body_json().await?);
     Ok(status(StatusCode::Ok))
 }
-
-async fn forward(proxy: &Arc<Proxy>, inbound: TcpStream, target: SocketAddr) -> Result<()> {
-    if proxy.faults().cut {
-        return Ok(());
-    }
-    let outbound = TcpStream::connect(target).await?;
-    inbound.set_nodelay(true)?;
-    outbound.set_nodelay(true)?;
-    task::spawn(pump(proxy.clone(), inbound.clone(), outbound.clone()));
-    pump(proxy.clone(), outbound, inbound).await
-}
-
-async fn pump(proxy: Arc<Proxy>, mut from: TcpStream, mut to: TcpStream) -> Result<()> {
-    const FAULT_PERIOD: Duration = Duration::from_millis(10);
-    let mut buffer = vec![0; 16 << 10];
-    loop {
-        let read = match async_std::future::timeout(FAULT_PERIOD, from.read(&mut buffer)).await {
-            Ok(read) => read.unwrap_or(0),
-            Err(_) if proxy.faults().cut => 0,
-            Err(_) => continue,
-        };
-        while proxy.faults().freeze {
-            task::sleep(FAULT_PERIOD).await;
-        }
-        let faults = proxy.faults();
-        if read == 0 || faults.cut {
-            let _ = from.shutdown(Shutdown::Both);
-            let _ = to.shutdown(Shutdown::Both);
-            return Ok(());
-        }
-        task::sleep(Duration::from_millis(faults.delay_ms)).await;
-        if let Some(nanos) = (read as u64 * 1_000_000_000).checked_div(faults.bandwidth) {
-            task::sleep(Duration::from_nanos(nanos)).await;
-        }
-        to.write_all(&buffer[..read]).await?;
-        proxy.bytes.fetch_add(read as u64, Ordering::Relaxed);
-    }
-}
--- a/fakes/src/set.rs
+++ b/fakes/src/set.rs
@@ -2,11 +2,13 @@
 
 use crate::http::{self, Answer};
 use crate::process::{Process, free_address, path};
+use crate::proxy::Proxy;
 use almondwell_schema::{Instance, Role};
 use async_std::task;
 use eyre::{Result, bail, ensure};
 use http_types::{Body, Method};
 use serde_json::{Value, json};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Command;
@@ -98,6 +100,10 @@
     pub plains: usize,
     /// Time to an engine's first token.
     pub prefill: Duration,
+    /// Whether a proxy stands before the platform, each side and each upstream.
+    pub proxied: bool,
+    /// Seed of the proxies.
+    pub seed: u64,
     /// Service files, as text.
     pub services: Vec<String>,
     /// Flags added to each side.
@@ -118,6 +124,8 @@
             lag: Duration::ZERO,
             plains: 1,
             prefill: Duration::from_millis(10),
+            proxied: false,
+            seed: 0,
             services: vec![DRAFTING.to_string(), ORDERS.to_string()],
             side_flags: Vec::new(),
             token: Duration::from_millis(2),
@@ -168,6 +176,8 @@
     pub platform: SocketAddr,
     /// The platform's process.
     pub platform_process: Process,
+    /// Proxies by the address that each stands before.
+    pub proxies: BTreeMap<SocketAddr, Proxy>,
     /// Sizes and times.
     pub settings: Settings,
     /// Upstreams, engines first.
@@ -191,10 +201,12 @@
             folder: scratch_folder()?,
             platform,
             platform_process,
+            proxies: BTreeMap::new(),
             settings,
             upstreams: Vec::new(),
         };
         wait_ready(platform, "/counts").await?;
+        set.add_proxy(platform).await?;
         set.publish(&set.settings.services.clone()).await?;
         for _ in 0..set.settings.engines {
             set.add_engine().await?;
@@ -242,7 +254,15 @@
     /// Starts one more plain order desk with its side.
     pub async fn add_plain(&mut self) -> Result<()> {
         const PLACES: u32 = 16;
-        let extra = [("work-ms", self.settings.work.as_millis().to_string())];
+        let records = self
+            .folder
+            .join(format!("runs-{}", self.upstreams.len()))
+            .display()
+            .to_string();
+        let extra = [
+            ("records", records),
+            ("work-ms", self.settings.work.as_millis().to_string()),
+        ];
         self.add_upstream("plain", "orders", &extra, PLACES).await
     }
 
@@ -261,9 +281,11 @@
         let id = format!("side-{pool}-{}", self.upstreams.len());
         let control = free_address()?;
         let admin = free_address()?;
+        self.add_proxy(address).await?;
+        self.add_proxy(control).await?;
         let side = self.start_side(&id, pool, [control, admin, address], places)?;
         wait_ready(admin, "/live").await?;
-        self.register(&instance(&id, Role::Side, pool, control))
+        self.register(&instance(&id, Role::Side, pool, self.seen(control)))
             .await?;
         self.upstreams.push(Upstream {
             admin,
@@ -291,8 +313,8 @@
             ("region", "kyushu-south".to_string()),
             ("control", control.to_string()),
             ("admin", admin.to_string()),
-            ("platform", self.platform.to_string()),
-            ("upstream", upstream.to_string()),
+            ("platform", self.seen(self.platform).to_string()),
+            ("upstream", self.seen(upstream).to_string()),
             ("secret", SECRET.to_string()),
             ("places", places.to_string()),
         ]);
@@ -323,7 +345,7 @@
             ("callers", callers.to_string()),
             ("control", control.to_string()),
             ("admin", admin.to_string()),
-            ("platform", self.platform.to_string()),
+            ("platform", self.seen(self.platform).to_string()),
             ("secret", SECRET.to_string()),
         ]));
         arguments.extend(pairs(&self.settings.entry_flags));
@@ -339,6 +361,20 @@
         })
     }
 
+    /// Address at which other processes reach `address`: its proxy's, if it has one.
+    pub fn seen(&self, address: SocketAddr) -> SocketAddr {
+        self.proxies.get(&address).map_or(address, Proxy::address)
+    }
+
+    async fn add_proxy(&mut self, address: SocketAddr) -> Result<()> {
+        if self.settings.proxied {
+            let seed = self.settings.seed.wrapping_add(u64::from(address.port()));
+            let proxy = Proxy::before(address, seed).await?;
+            self.proxies.insert(address, proxy);
+        }
+        Ok(())
+    }
+
     /// Shows `instance` in the instance list.
     pub async fn register(&self, instance: &Instance) -> Result<()> {
         let path = format!("/instances/{}", instance.id);
