Quarantine requests that crash upstreams

Cause: a request that crashes its engine was retried on others by the entry and sent again by its caller, and took one engine each time. Ruled out: probing the upstream after a break (a fast restart hides the crash); memory of one entry (a resend through another meets no verdict); condemning all that ran (a bystander would be refused). Change: a side holds an idle connection to its upstream; a call that breaks together with it met a crash, and while it cannot be opened the side refuses reservations. Crashes make a request suspect: half weight beside others, full weight alone. A suspect runs alone or not at all, a pass alone clears it, and from one and a half on it is refused as not run, 422 `quarantined`. Entries learn crashes from the fault, show them with each run, tell all sides, and keep one object of at most 512 suspects for ten minutes by conditional writes. Knowledge merges without order.

--- a/almondwell/src/call.rs
+++ b/almondwell/src/call.rs
@@ -4,9 +4,10 @@
 use crate::entry::Entry;
 use crate::job::Job;
 use crate::pool::Pool;
+use crate::quarantine::{self, Suspects};
 use crate::refusal::Refusal;
 use almondwell_daemon::{Clock, Piece, Pipe};
-use almondwell_schema::{Frame, Head, Run, Ticket, Verdict};
+use almondwell_schema::{Crash, Fault, Fingerprint, Frame, Head, Reason, Run, Ticket, Verdict};
 use almondwell_wire::Connection;
 use async_std::channel::{SendError, Sender};
 use async_std::future::timeout;
@@ -30,8 +31,10 @@
 ) -> Result<Answer, Refusal> {
     let mut connection = connect(entry, side).await?;
     let left = job.deadline.saturating_sub(entry.clock.now());
+    let crashes = entry.suspects.crashes(entry.clock.now(), job.fingerprint);
+    let run = frame(job, ticket, left, crashes);
     // A frame that was not written whole is never run.
-    if let Err(error) = connection.write(&frame(job, ticket, left).into()).await {
+    if let Err(error) = connection.write(&run.into()).await {
         return Err(Refusal::broken(
             Verdict::NotRun,
             format!("a side could not be sent the request: {error}"),
@@ -39,8 +42,10 @@
     }
     let home = Home {
         clock: entry.clock,
+        fingerprint: job.fingerprint,
         pool: entry.pool.clone(),
         side,
+        suspects: entry.suspects.clone(),
     };
     match timeout(left, read(connection, home, left)).await {
         Ok(result) => result,
@@ -72,17 +77,25 @@
 /// Where a connection goes after a whole answer.
 struct Home {
     clock: Clock,
+    fingerprint: Fingerprint,
     pool: Arc<Pool>,
     side: SocketAddr,
+    suspects: Arc<Suspects>,
 }
 
 impl Home {
+    fn learn(&self, fault: &Fault) {
+        let now = self.clock.now();
+        self.suspects.learn(now, self.fingerprint, &fault.crashes);
+    }
+
     fn keep(&self, connection: Connection) {
+        self.suspects.passed(self.clock.now(), self.fingerprint);
         self.pool.keep(self.side, connection, self.clock.now());
     }
 }
 
-fn frame(job: &Job, ticket: Ticket, left: Duration) -> Run {
+fn frame(job: &Job, ticket: Ticket, left: Duration, crashes: Vec<Crash>) -> Run {
     Run {
         request: job.request,
         ticket,
@@ -93,6 +106,7 @@
         idempotent: job.class.idempotent,
         key: job.key.clone(),
         fingerprint: job.fingerprint,
+        crashes,
         left,
         path: job.path.clone(),
         headers: job.headers.clone(),
@@ -102,7 +116,7 @@
 
 /// Reads an answer; what is left of a stream is read for up to `left`.
 async fn read(mut connection: Connection, home: Home, left: Duration) -> Result<Answer, Refusal> {
-    let head = match next(&mut connection).await? {
+    let head = match next(&mut connection, &home).await? {
         Frame::Head(head) => head,
         frame => return Err(unexpected(&frame)),
     };
@@ -121,7 +135,7 @@
     }
     let mut body = Vec::new();
     loop {
-        match next(&mut connection).await? {
+        match next(&mut connection, &home).await? {
             Frame::Chunk(chunk) => body.extend_from_slice(&chunk.bytes),
             Frame::End(end) if end.length == body.len() as u64 => {
                 home.keep(connection);
@@ -135,9 +149,12 @@
     }
 }
 
-async fn next(connection: &mut Connection) -> Result<Frame, Refusal> {
+async fn next(connection: &mut Connection, home: &Home) -> Result<Frame, Refusal> {
     match connection.read().await {
-        Ok(Some(Frame::Fault(fault))) => Err(Refusal::broken(fault.verdict, fault.detail)),
+        Ok(Some(Frame::Fault(fault))) => {
+            home.learn(&fault);
+            Err(refusal(fault))
+        }
         Ok(Some(frame)) => Ok(frame),
         Ok(None) => Err(Refusal::broken(
             Verdict::MayHaveRun,
@@ -150,6 +167,13 @@
     }
 }
 
+fn refusal(fault: Fault) -> Refusal {
+    if fault.reason == Reason::Quarantined {
+        return quarantine::refused(fault.verdict);
+    }
+    Refusal::broken(fault.verdict, fault.detail)
+}
+
 fn unexpected(frame: &Frame) -> Refusal {
     let name = match frame {
         Frame::Chunk(_) => "chunk",
@@ -189,7 +213,14 @@
                 home.keep(connection);
                 return sender.send(Ok(Vec::new())).await;
             }
-            Ok(_) | Err(_) => {
+            Ok(frame) => {
+                if let Some(Frame::Fault(fault)) = &frame {
+                    home.learn(fault);
+                }
+                let broken = Err(io::ErrorKind::ConnectionAborted.into());
+                return sender.send(broken).await;
+            }
+            Err(_) => {
                 let broken = Err(io::ErrorKind::ConnectionAborted.into());
                 return sender.send(broken).await;
             }
--- a/almondwell/src/control.rs
+++ b/almondwell/src/control.rs
@@ -30,7 +30,10 @@
         Datagram::Alive(alive) => return liveness::alive(entry, alive, from),
         Datagram::Leaving(leaving) => return liveness::leaving(entry, leaving, from).await,
         Datagram::Probe(probe) => return liveness::probed(entry, probe, from).await,
-        Datagram::Noted(_) | Datagram::Reserve(_) | Datagram::Withdraw(_) => {
+        Datagram::Noted(_)
+        | Datagram::Reserve(_)
+        | Datagram::Suspect(_)
+        | Datagram::Withdraw(_) => {
             entry.metrics.datagrams_rejected.inc();
             return;
         }
--- a/almondwell/src/dispatch.rs
+++ b/almondwell/src/dispatch.rs
@@ -131,6 +131,7 @@
             | Datagram::Noted(_)
             | Datagram::Probe(_)
             | Datagram::Reserve(_)
+            | Datagram::Suspect(_)
             | Datagram::Withdraw(_) => {}
         }
     }
--- a/almondwell/src/entry.rs
+++ b/almondwell/src/entry.rs
@@ -7,6 +7,7 @@
 use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::quarantine::Suspects;
 use crate::waiters::Waiters;
 use almondwell_configuration::Replica;
 use almondwell_daemon::Clock;
@@ -36,6 +37,7 @@
     pub(crate) seal: Seal,
     pub(crate) settings: EntrySettings,
     pub(crate) socket: Socket,
+    pub(crate) suspects: Arc<Suspects>,
     pub(crate) waiters: Waiters,
     requests: AtomicU64,
 }
@@ -60,6 +62,7 @@
             seal,
             settings,
             socket,
+            suspects: Arc::default(),
             waiters: Waiters::default(),
             requests: AtomicU64::new(0),
         })
--- a/almondwell/src/handler.rs
+++ b/almondwell/src/handler.rs
@@ -64,7 +64,12 @@
 async fn serve(entry: &Entry, job: Arc<Job>) -> Response {
     let id = job.request;
     let mut observation = Observation::new(entry, job.clone());
-    match dispatch(entry, &job).await {
+    let refusal = entry.suspects.refusal(entry.clock.now(), &job);
+    let outcome = match refusal {
+        Some(refusal) => Err(refusal),
+        None => dispatch(entry, &job).await,
+    };
+    match outcome {
         Ok(answer) => answer.response(id, observation),
         Err(refusal) => {
             entry.metrics.refuse(&refusal);
--- a/almondwell/src/main.rs
+++ b/almondwell/src/main.rs
@@ -35,6 +35,7 @@
 mod probe;
 mod publication;
 mod publish;
+mod quarantine;
 mod receive;
 mod refusal;
 mod report;
--- a/almondwell/src/serve.rs
+++ b/almondwell/src/serve.rs
@@ -1,7 +1,7 @@
 //! `almondwell serve`, the entry daemon.
 
 use crate::entry::Entry;
-use crate::{admin, configuration, control, listener, peers, probe, roster};
+use crate::{admin, configuration, control, listener, peers, probe, quarantine, roster};
 use almondwell_configuration::{gossip, watch};
 use almondwell_daemon::{Command, parse, set_up_logs, signals};
 use almondwell_schema::EntrySettings;
@@ -63,6 +63,8 @@
     task::spawn(async move { configuration::start(&starter).await });
     let refresher = entry.clone();
     task::spawn(async move { roster::refresh(&refresher).await });
+    let sharer = entry.clone();
+    task::spawn(async move { quarantine::share(&sharer).await });
     let prober = entry.clone();
     task::spawn(async move { probe::run(&prober).await });
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod membership;
 mod membership_pulse;
 mod membership_subset;
+pub mod quarantine;
 mod queue;
 mod sampler;
 
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -215,6 +215,7 @@
     Queued(Queued),
     Refuse(Refuse),
     Reserve(Reserve),
+    Suspect(Suspect),
     Withdraw(Withdraw),
 }
 impl From<Alive> for Datagram {
@@ -257,6 +258,11 @@
         Self::Reserve(value)
     }
 }
+impl From<Suspect> for Datagram {
+    fn from(value: Suspect) -> Self {
+        Self::Suspect(value)
+    }
+}
 impl From<Withdraw> for Datagram {
     fn from(value: Withdraw) -> Self {
         Self::Withdraw(value)
@@ -281,6 +287,8 @@
     /// The caller's idempotency key.
     pub key: Option<Box<str>>,
     pub fingerprint: u64,
+    /// Crashes that the request may have caused, as far as the entry knows.
+    pub crashes: Vec<Crash>,
     pub left: Duration,
     pub path: Box<str>,
     pub headers: Vec<Header>,
@@ -314,6 +322,8 @@
     pub reason: Reason,
     pub retry: Duration,
     pub detail: Box<str>,
+    /// Crashes that the request may have caused.
+    pub crashes: Vec<Crash>,
 }
 /// Asks a process for the configuration that it holds.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -376,6 +386,56 @@
         Self::Snapshot(value)
     }
 }
+/// Hash of a request that is the same when its caller sends it again.
+pub type Fingerprint = u64;
+/// Identifier of one crash of an upstream, as one request met it.
+pub type CrashId = u64;
+/// What a crash says about a request: it ran alone, has since run alone without a crash, or ran beside others. The lower replaces the higher.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum Evidence {
+    Alone,
+    Cleared,
+    Shared,
+}
+impl Evidence {
+    /// All variants.
+    pub const ALL: &'static [Self] = &[Self::Alone, Self::Cleared, Self::Shared];
+    /// Name in settings, headers and metrics.
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Alone => "alone",
+            Self::Cleared => "cleared",
+            Self::Shared => "shared",
+        }
+    }
+}
+impl Setting for Evidence {
+    const EXPECTED: &'static str = "alone or cleared or shared";
+    fn read(text: &str) -> Option<Self> {
+        Self::ALL.iter().copied().find(|variant| variant.label() == text)
+    }
+}
+/// A crash of an upstream that was running a request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Crash {
+    pub id: CrashId,
+    pub evidence: Evidence,
+}
+/// A request that may crash upstreams.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Suspect {
+    pub fingerprint: Fingerprint,
+    pub crashes: Vec<Crash>,
+    /// Time until it is forgotten.
+    pub left: Duration,
+}
+/// All suspects, as the object API keeps them.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Suspects {
+    /// Time since the Unix epoch at which it was written.
+    pub written: Duration,
+    pub suspects: Vec<Suspect>,
+}
 /// One line of the platform's instance list.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Instance {
--- a/side/src/call.rs
+++ b/side/src/call.rs
@@ -91,6 +91,7 @@
         reason,
         retry: Duration::ZERO,
         detail: "".into(),
+        crashes: Vec::new(),
     }
 }
 
@@ -100,5 +101,6 @@
         reason: Reason::Late,
         retry: Duration::ZERO,
         detail: "deadline passed while the upstream was running the request".into(),
+        crashes: Vec::new(),
     }
 }
--- a/side/src/control.rs
+++ b/side/src/control.rs
@@ -45,6 +45,7 @@
             side.queue().withdraw(withdraw.request);
             side.offer().await;
         }
+        Datagram::Suspect(suspect) => side.suspects.merge(side.clock.now(), &suspect),
         Datagram::Grant(_) | Datagram::Leaving(_) | Datagram::Queued(_) | Datagram::Refuse(_) => {
             side.metrics.datagrams_rejected.inc();
         }
@@ -53,6 +54,9 @@
 
 async fn reserve_place(side: &Side, reserve: Reserve, from: SocketAddr) {
     let request = reserve.request;
+    if !side.health.is_up() {
+        return refuse(side, request, Reason::Stalled, from).await;
+    }
     let reservation = Reservation {
         from,
         left: reserve.left,
--- a/side/src/run.rs
+++ b/side/src/run.rs
@@ -1,7 +1,7 @@
 //! Runs a side from start to stop.
 
 use crate::side::Side;
-use crate::{admin, announcement, configuration, control, listener};
+use crate::{admin, announcement, configuration, control, health, listener};
 use almondwell_configuration::{gossip, watch};
 use almondwell_daemon::{set_up_logs, signals};
 use almondwell_schema::{Reason, SideSettings};
@@ -45,6 +45,8 @@
     task::spawn(async move { watch(&*watcher).await });
     let gossiper = side.clone();
     task::spawn(async move { gossip(&*gossiper).await });
+    let sentinel = side.clone();
+    task::spawn(async move { health::watch(&sentinel).await });
     let starter = side.clone();
     task::spawn(async move { configuration::start(&starter).await });
 }
--- a/side/src/side.rs
+++ b/side/src/side.rs
@@ -1,7 +1,9 @@
 //! State that the tasks of a side share.
 
 use crate::entries::Entries;
+use crate::health::Health;
 use crate::metrics::Metrics;
+use crate::quarantine::Suspects;
 use almondwell_configuration::Replica;
 use almondwell_core::{Offer, Queue};
 use almondwell_daemon::Clock;
@@ -18,6 +20,7 @@
     pub(crate) entries: Entries,
     /// Number of this run; never 0.
     pub(crate) epoch: Epoch,
+    pub(crate) health: Health,
     pub(crate) leaving: AtomicBool,
     pub(crate) metrics: Metrics,
     pub(crate) objects: Objects,
@@ -25,6 +28,7 @@
     pub(crate) seal: Seal,
     pub(crate) settings: SideSettings,
     pub(crate) socket: Socket,
+    pub(crate) suspects: Suspects,
     queue: Mutex<Queue<SocketAddr>>,
 }
 
@@ -37,6 +41,7 @@
             clock: Clock::start(),
             entries: Entries::default(),
             epoch: rand::random_range(1..=Epoch::MAX),
+            health: Health::default(),
             leaving: AtomicBool::new(false),
             metrics: Metrics::default(),
             objects: Objects::new(settings.platform),
@@ -44,6 +49,7 @@
             seal,
             settings,
             socket,
+            suspects: Suspects::default(),
             queue: Mutex::new(queue),
         })
     }
@@ -55,6 +61,9 @@
 
     /// Sends offers while places are free.
     pub(crate) async fn offer(&self) {
+        if !self.health.is_up() {
+            return;
+        }
         loop {
             let offer = self.queue().next(self.clock.now());
             let Some(offer) = offer else { return };
--- a/side/src/upstream.rs
+++ b/side/src/upstream.rs
@@ -1,7 +1,8 @@
 //! One call to the upstream over HTTP.
 
+use crate::quarantine::{self, Stay};
 use crate::side::Side;
-use almondwell_schema::{Chunk, End, Fault, Head, Header, Reason, Run, Verdict};
+use almondwell_schema::{Chunk, Crash, End, Fault, Head, Header, Reason, Run, Verdict};
 use almondwell_wire::{Connection, Error};
 use async_std::io::ReadExt;
 use async_std::net::TcpStream;
@@ -12,19 +13,24 @@
 
 /// Runs `run` at the upstream and writes its answer to `connection`.
 pub(crate) async fn call(side: &Side, connection: &mut Connection, run: &Run) -> Result<(), Error> {
+    let stay = match quarantine::admit(side, run).await {
+        Ok(stay) => stay,
+        Err(fault) => return connection.write(&fault.into()).await,
+    };
     let tcp = match TcpStream::connect(side.settings.upstream).await {
         Ok(tcp) => tcp,
         Err(error) => {
             side.metrics.upstream_failures.inc();
-            return fail(connection, Verdict::NotRun, &error.to_string()).await;
+            let detail = error.to_string();
+            return fail(connection, Verdict::NotRun, &detail, Vec::new()).await;
         }
     };
     tcp.set_nodelay(true)?;
     match async_h1::connect(tcp, request(side, run)).await {
-        Ok(response) => forward(side, connection, response).await,
+        Ok(response) => forward(&stay, side, connection, response).await,
         Err(error) => {
             side.metrics.upstream_failures.inc();
-            fail(connection, Verdict::MayHaveRun, &error.to_string()).await
+            broken(&stay, connection, &error.to_string()).await
         }
     }
 }
@@ -40,6 +46,7 @@
 }
 
 async fn forward(
+    stay: &Stay<'_>,
     side: &Side,
     connection: &mut Connection,
     mut response: Response,
@@ -58,14 +65,15 @@
             }
             Err(error) => {
                 side.metrics.upstream_failures.inc();
-                return fail(connection, Verdict::MayHaveRun, &error.to_string()).await;
+                return broken(stay, connection, &error.to_string()).await;
             }
         }
     }
     if expected.is_some_and(|expected| expected as u64 != length) {
         side.metrics.upstream_failures.inc();
-        return fail(connection, Verdict::MayHaveRun, "answer was cut short").await;
+        return broken(stay, connection, "answer was cut short").await;
     }
+    stay.passed();
     connection.write(&End { length }.into()).await
 }
 
@@ -90,12 +98,23 @@
     }
 }
 
-async fn fail(connection: &mut Connection, verdict: Verdict, detail: &str) -> Result<(), Error> {
+async fn broken(stay: &Stay<'_>, connection: &mut Connection, detail: &str) -> Result<(), Error> {
+    let crashes = stay.broke().await;
+    fail(connection, Verdict::MayHaveRun, detail, crashes).await
+}
+
+async fn fail(
+    connection: &mut Connection,
+    verdict: Verdict,
+    detail: &str,
+    crashes: Vec<Crash>,
+) -> Result<(), Error> {
     let fault = Fault {
         verdict,
         reason: Reason::Unknown,
         retry: Duration::ZERO,
         detail: detail.into(),
+        crashes,
     };
     connection.write(&fault.into()).await
 }
--- a/tests/tests/main.rs
+++ b/tests/tests/main.rs
@@ -7,6 +7,7 @@
 mod faults;
 mod membership;
 mod path;
+mod quarantine;
 mod raw;
 mod report;
 mod stop;
