Run keyed calls at most once by a ledger in the object API

Cause: a call of a class that is not idempotent ran again when its caller sent it again: nothing outlived the connection or the side.

Change: core::ledger::Shard is the state machine of one shard, without I/O: a ring of slots, each rewritten on condition of the version one round older, and a checkpoint twice a round. A side drives its shards one step at a time; outcomes ride with the next intents or after a second. An attempt that ends before the upstream gives its key back. A run is followed to its end when its caller has left. Entries rank the pool's sides by rendezvous hashing for each shard, silent ones last, and ask again under the key while a call's fate is unknown.

A restart of the store with loss of objects is not covered, nor a wall clock that is wrong by more than the ten minutes for which keys are remembered at least.

--- a/almondwell/src/call.rs
+++ b/almondwell/src/call.rs
@@ -3,6 +3,7 @@
 use crate::answer::Answer;
 use crate::entry::Entry;
 use crate::job::Job;
+use crate::once;
 use crate::pool::Pool;
 use crate::refusal::Refusal;
 use almondwell_daemon::{Clock, Piece, Pipe};
@@ -137,7 +138,7 @@
 
 async fn next(connection: &mut Connection) -> Result<Frame, Refusal> {
     match connection.read().await {
-        Ok(Some(Frame::Fault(fault))) => Err(Refusal::broken(fault.verdict, fault.detail)),
+        Ok(Some(Frame::Fault(fault))) => Err(once::refusal(fault)),
         Ok(Some(frame)) => Ok(frame),
         Ok(None) => Err(Refusal::broken(
             Verdict::MayHaveRun,
--- a/almondwell/src/dispatch.rs
+++ b/almondwell/src/dispatch.rs
@@ -4,6 +4,7 @@
 use crate::call;
 use crate::entry::Entry;
 use crate::job::Job;
+use crate::once;
 use crate::refusal::Refusal;
 use crate::waiters::Waiter;
 use almondwell_core::sample;
@@ -23,6 +24,9 @@
 
 /// Serves `job`; drops of the future withdraw it.
 pub(crate) async fn dispatch(entry: &Entry, job: &Job) -> Result<Answer, Refusal> {
+    if once::applies(job) {
+        return once::run(entry, job).await;
+    }
     let mut last = Refusal::busy("no upstream granted a place in time", RETRY_AFTER);
     for _ in 0..ATTEMPTS {
         let (side, ticket) = reserve(entry, job).await?;
@@ -79,22 +83,9 @@
     let missing = count.saturating_sub(chosen.len());
     let sampled = sample(&mut rand::rng(), others.len(), missing);
     chosen.extend(sampled.into_iter().map(|index| others[index]));
-    let waited = entry.clock.now().saturating_sub(job.arrived);
     for instance in chosen {
         let address = instance.address;
-        let reserve = Reserve {
-            request: job.request,
-            service: job.service.name.clone(),
-            class: job.class_name.clone(),
-            workspace: job.workspace_name.clone(),
-            tier: job.class.tier,
-            priority: job.class.priority,
-            share: job.workspace.share,
-            left,
-            target: job.class.first_token.saturating_sub(waited),
-            prefix: job.prefix,
-            fingerprint: job.fingerprint,
-        };
+        let reserve = reservation(entry, job, left);
         entry.members.asked(address, entry.clock.now());
         entry.send(reserve.into(), address).await;
         if !asked.sides.contains(&address) {
@@ -103,6 +94,24 @@
     }
 }
 
+/// The reservation of a place for `job`.
+pub(crate) fn reservation(entry: &Entry, job: &Job, left: Duration) -> Reserve {
+    let waited = entry.clock.now().saturating_sub(job.arrived);
+    Reserve {
+        request: job.request,
+        service: job.service.name.clone(),
+        class: job.class_name.clone(),
+        workspace: job.workspace_name.clone(),
+        tier: job.class.tier,
+        priority: job.class.priority,
+        share: job.workspace.share,
+        left,
+        target: job.class.first_token.saturating_sub(waited),
+        prefix: job.prefix,
+        fingerprint: job.fingerprint,
+    }
+}
+
 /// Waits for a grant; `None` when other sides should be asked.
 async fn wait(
     waiter: &Waiter<'_>,
--- a/almondwell/src/main.rs
+++ b/almondwell/src/main.rs
@@ -28,6 +28,7 @@
 mod metrics;
 mod models;
 mod observation;
+mod once;
 mod outcome;
 mod peers;
 mod plain;
--- /dev/null
+++ b/almondwell/src/once.rs
@@ -0,0 +1,214 @@
+//! Sends a keyed call that may not be repeated to the side that holds its key in the ledger.
+//!
+//! Sides are ranked for each shard by rendezvous hashing; where the first does not answer, the next
+//! takes the shard over. The ledger keeps any of them from running a key twice, so that a call whose
+//! fate is unknown is sent again under its key to learn it.
+
+use crate::answer::Answer;
+use crate::call;
+use crate::dispatch::reservation;
+use crate::entry::Entry;
+use crate::job::{Job, hash};
+use crate::refusal::Refusal;
+use crate::sides::Ranked;
+use almondwell_core::ledger::{call_key, shard_of};
+use almondwell_schema::{Datagram, Fault, Reason, Ticket, Verdict, Withdraw};
+use async_std::future::timeout;
+use async_std::task;
+use http_types::StatusCode;
+use std::cmp::Reverse;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const FULL: &str = "ledger_full";
+const INTERRUPTED: &str = "interrupted";
+/// Code of a refusal for want of the object API.
+pub(crate) const STORE_DOWN: &str = "store_down";
+/// Time without a word from a side after which the next in rank is asked.
+const SILENCE: Duration = Duration::from_millis(250);
+/// Time after which a side that queued a reservation is asked again.
+const REPEAT: Duration = Duration::from_millis(500);
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Whether `job` must go to the holder of its key.
+pub(crate) fn applies(job: &Job) -> bool {
+    !job.class.idempotent && job.key.is_some()
+}
+
+/// Serves `job` at most once; drops of the future withdraw it.
+pub(crate) async fn run(entry: &Entry, job: &Job) -> Result<Answer, Refusal> {
+    let mut last = Refusal::busy("no upstream granted a place in time", RETRY_AFTER);
+    let mut verdict = Verdict::NotRun;
+    let mut rank = 0;
+    while left(entry, job).is_some() {
+        let sides = ranked(entry, job);
+        let Some(side) = sides.get(rank % sides.len().max(1)).copied() else {
+            let message = format!("no upstream of the pool `{}` is known", job.service.pool);
+            return Err(worse(verdict, Refusal::busy(message, RETRY_AFTER)));
+        };
+        let refusal = match attempt(entry, job, side).await {
+            Ok(Some(answer)) => return Ok(answer),
+            Ok(None) => {
+                rank += 1;
+                continue;
+            }
+            Err(refusal) => refusal,
+        };
+        if is_final(&refusal) {
+            return Err(worse(verdict, refusal));
+        }
+        if refusal.verdict == Verdict::NotRun {
+            rank += 1;
+        }
+        verdict = verdict.max(refusal.verdict);
+        last = refusal;
+        task::sleep(RETRY_PAUSE).await;
+    }
+    Err(worse(verdict, last))
+}
+
+fn left(entry: &Entry, job: &Job) -> Option<Duration> {
+    let left = job.deadline.saturating_sub(entry.clock.now());
+    (!left.is_zero()).then_some(left)
+}
+
+/// Whether the ledger has said all that it knows.
+fn is_final(refusal: &Refusal) -> bool {
+    refusal.verdict == Verdict::Ran
+        || refusal.status.is_client_error()
+        || [FULL, INTERRUPTED, STORE_DOWN].contains(&refusal.code)
+}
+
+/// `refusal`, unless an earlier attempt may have run.
+fn worse(verdict: Verdict, refusal: Refusal) -> Refusal {
+    if refusal.verdict >= verdict {
+        return refusal;
+    }
+    Refusal {
+        verdict,
+        ..Refusal::broken(verdict, refusal.message)
+    }
+}
+
+/// Addresses of the pool's sides, the holder of the job's key first and silent ones last.
+fn ranked(entry: &Entry, job: &Job) -> Vec<SocketAddr> {
+    let sides = entry.members.sides();
+    let shard = shard(job);
+    let mut ranked: Vec<&Ranked> = sides.all(&job.service.pool).iter().collect();
+    ranked.sort_by_key(|side| {
+        let weight = weight(&job.service.name, shard, &side.id);
+        (side.standing, Reverse(weight))
+    });
+    ranked.iter().map(|side| side.address).collect()
+}
+
+fn shard(job: &Job) -> u16 {
+    let key = job.key.as_deref().unwrap_or_default();
+    shard_of(call_key(&job.service.name, &job.workspace_name, key))
+}
+
+fn weight(service: &str, shard: u16, side: &str) -> u64 {
+    hash(format!("{service}/{shard}/{side}").as_bytes())
+}
+
+/// Asks `side` for a place and runs `job` there; `None` when it gives none.
+async fn attempt(entry: &Entry, job: &Job, side: SocketAddr) -> Result<Option<Answer>, Refusal> {
+    let Some(ticket) = reserve(entry, job, side).await else {
+        return Ok(None);
+    };
+    let wait = entry.clock.now().saturating_sub(job.arrived);
+    entry.metrics.granted(job, wait);
+    call::run(entry, job, side, ticket).await.map(Some)
+}
+
+async fn reserve(entry: &Entry, job: &Job, side: SocketAddr) -> Option<Ticket> {
+    let waiter = entry.waiters.open(job.request);
+    let mut asked = Asked {
+        entry,
+        is_open: true,
+        job,
+        side,
+    };
+    let mut is_queued = true;
+    let mut limit = Duration::ZERO;
+    loop {
+        let Ok(message) = timeout(limit, waiter.inbox.recv()).await else {
+            if !is_queued {
+                return None;
+            }
+            // A repeated reservation keeps its rank; a side that has died does not answer it.
+            let left = self::left(entry, job)?;
+            entry.members.asked(side, entry.clock.now());
+            entry.send(reservation(entry, job, left).into(), side).await;
+            is_queued = false;
+            limit = SILENCE.min(left);
+            continue;
+        };
+        let (datagram, from) = message.ok()?;
+        if from != side {
+            continue;
+        }
+        match datagram {
+            Datagram::Grant(grant) => {
+                asked.is_open = false;
+                return Some(grant.ticket);
+            }
+            Datagram::Queued(_) => {
+                is_queued = true;
+                limit = REPEAT;
+            }
+            Datagram::Refuse(_) => {
+                task::sleep(RETRY_PAUSE).await;
+                return None;
+            }
+            Datagram::Alive(_)
+            | Datagram::Leaving(_)
+            | Datagram::Noted(_)
+            | Datagram::Probe(_)
+            | Datagram::Reserve(_)
+            | Datagram::Withdraw(_) => {}
+        }
+    }
+}
+
+/// A reservation that is withdrawn when it is given up.
+struct Asked<'a> {
+    entry: &'a Entry,
+    is_open: bool,
+    job: &'a Job,
+    side: SocketAddr,
+}
+
+impl Drop for Asked<'_> {
+    fn drop(&mut self) {
+        if !self.is_open {
+            return;
+        }
+        let request = self.job.request;
+        self.entry.send_now(&Withdraw { request }.into(), self.side);
+    }
+}
+
+/// The refusal that a side's fault stands for.
+pub(crate) fn refusal(fault: Fault) -> Refusal {
+    let (status, code) = match fault.reason {
+        Reason::Full => (StatusCode::ServiceUnavailable, FULL),
+        Reason::Interrupted => (StatusCode::Conflict, INTERRUPTED),
+        Reason::KeyReused => (StatusCode::UnprocessableEntity, "key_reused"),
+        Reason::NotKept => (StatusCode::Conflict, "answer_not_kept"),
+        Reason::StoreDown => (StatusCode::ServiceUnavailable, STORE_DOWN),
+        Reason::Expired
+        | Reason::Late
+        | Reason::Leaving
+        | Reason::Quarantined
+        | Reason::Stalled
+        | Reason::Unknown => return Refusal::broken(fault.verdict, fault.detail),
+    };
+    Refusal {
+        code,
+        retry: Some(fault.retry).filter(|retry| !retry.is_zero()),
+        status,
+        ..Refusal::broken(fault.verdict, fault.detail)
+    }
+}
--- a/almondwell/src/sides.rs
+++ b/almondwell/src/sides.rs
@@ -13,11 +13,21 @@
 /// Sides by pool.
 #[derive(Debug, Default)]
 pub(crate) struct Sides {
+    /// All sides by pool, also those past the limit.
+    all: BTreeMap<Box<str>, Vec<Ranked>>,
     live: BTreeMap<SocketAddr, Arc<Pulse>>,
     pools: BTreeMap<Box<str>, Vec<Instance>>,
     suspects: BTreeMap<SocketAddr, Arc<Pulse>>,
 }
 
+/// A side as calls that one side must serve see it.
+#[derive(Clone, Debug)]
+pub(crate) struct Ranked {
+    pub(crate) address: SocketAddr,
+    pub(crate) id: Box<str>,
+    pub(crate) standing: Standing,
+}
+
 impl Sides {
     pub(crate) fn new(owner: &str, membership: &Membership) -> Self {
         let mut sides = Self::default();
@@ -30,6 +40,12 @@
                 Standing::Suspect => &mut suspects,
             };
             let pool = candidate.instance.pool.clone();
+            let ranked = Ranked {
+                address: candidate.instance.address,
+                id: candidate.instance.id.clone(),
+                standing,
+            };
+            sides.all.entry(pool.clone()).or_default().push(ranked);
             pools.entry(pool).or_default().push(candidate);
         }
         for (pool, candidates) in live {
@@ -51,6 +67,11 @@
         self.pools.get(pool).map_or(&[], Vec::as_slice)
     }
 
+    /// All sides before the upstreams of `pool` that are not leaving; each entry sees the same ones.
+    pub(crate) fn all(&self, pool: &str) -> &[Ranked] {
+        self.all.get(pool).map_or(&[], Vec::as_slice)
+    }
+
     /// What is known of the answers of the side at `address`.
     pub(crate) fn pulse(&self, address: SocketAddr) -> Option<&Pulse> {
         self.live
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decisions of almondwell with no I/O: callers pass in the time and the randomness.
 
 pub mod burn;
+pub mod ledger;
 pub mod membership;
 mod membership_pulse;
 mod membership_subset;
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -91,8 +91,11 @@
 pub enum Reason {
     Expired,
     Full,
+    Interrupted,
+    KeyReused,
     Late,
     Leaving,
+    NotKept,
     Quarantined,
     Stalled,
     StoreDown,
@@ -103,8 +106,11 @@
     pub const ALL: &'static [Self] = &[
         Self::Expired,
         Self::Full,
+        Self::Interrupted,
+        Self::KeyReused,
         Self::Late,
         Self::Leaving,
+        Self::NotKept,
         Self::Quarantined,
         Self::Stalled,
         Self::StoreDown,
@@ -115,8 +121,11 @@
         match self {
             Self::Expired => "expired",
             Self::Full => "full",
+            Self::Interrupted => "interrupted",
+            Self::KeyReused => "key-reused",
             Self::Late => "late",
             Self::Leaving => "leaving",
+            Self::NotKept => "not-kept",
             Self::Quarantined => "quarantined",
             Self::Stalled => "stalled",
             Self::StoreDown => "store-down",
@@ -125,7 +134,7 @@
     }
 }
 impl Setting for Reason {
-    const EXPECTED: &'static str = "expired or full or late or leaving or quarantined or stalled or store-down or unknown";
+    const EXPECTED: &'static str = "expired or full or interrupted or key-reused or late or leaving or not-kept or quarantined or stalled or store-down or unknown";
     fn read(text: &str) -> Option<Self> {
         Self::ALL.iter().copied().find(|variant| variant.label() == text)
     }
@@ -376,6 +385,86 @@
         Self::Snapshot(value)
     }
 }
+/// Hash of a service, a workspace and a caller's idempotency key.
+pub type CallKey = u128;
+/// Identifier of one attempt to run a call, unique across sides.
+pub type RunId = u64;
+/// A call is about to run.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Intent {
+    pub key: CallKey,
+    pub run: RunId,
+    /// Hash of the call's class, path and body.
+    pub digest: u64,
+    /// Time since the Unix epoch.
+    pub stamp: Duration,
+}
+/// An answer kept for repeats of its call.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Kept {
+    pub status: u16,
+    pub headers: Vec<Header>,
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
+/// A call has run to its end.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Outcome {
+    pub key: CallKey,
+    pub run: RunId,
+    /// Its answer, unless that was too long to keep.
+    pub answer: Option<Kept>,
+}
+/// A call was given up before it reached the upstream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Release {
+    pub key: CallKey,
+    pub run: RunId,
+}
+/// One record of the ledger.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Record {
+    Intent(Intent),
+    Outcome(Outcome),
+    Release(Release),
+}
+impl From<Intent> for Record {
+    fn from(value: Intent) -> Self {
+        Self::Intent(value)
+    }
+}
+impl From<Outcome> for Record {
+    fn from(value: Outcome) -> Self {
+        Self::Outcome(value)
+    }
+}
+impl From<Release> for Record {
+    fn from(value: Release) -> Self {
+        Self::Release(value)
+    }
+}
+/// Records of one write to a ledger shard's log.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Segment {
+    /// Position in the log, from 1.
+    pub number: u64,
+    /// Process that wrote it.
+    pub holder: u64,
+    pub records: Vec<Record>,
+}
+/// State of one call in a checkpoint.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Line {
+    pub intent: Intent,
+    pub outcome: Option<Outcome>,
+}
+/// State of a ledger shard after a segment.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Checkpoint {
+    /// Number of the last segment it covers.
+    pub number: u64,
+    pub lines: Vec<Line>,
+}
 /// One line of the platform's instance list.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Instance {
@@ -946,6 +1035,8 @@
     pub backlog: u32,
     /// Connections from entries served at once.
     pub connections: u32,
+    /// Store writes a second that a service's ledger may make in the whole fleet.
+    pub ledger_writes: u32,
 }
 impl Default for SideSettings {
     fn default() -> Self {
@@ -963,6 +1054,7 @@
             places: crate::default_of("16"),
             backlog: crate::default_of("4096"),
             connections: crate::default_of("1024"),
+            ledger_writes: crate::default_of("100"),
         }
     }
 }
@@ -1033,6 +1125,11 @@
             default: "1024",
             description: "Connections from entries served at once.",
         },
+        Key {
+            name: "ledger_writes",
+            default: "100",
+            description: "Store writes a second that a service's ledger may make in the whole fleet.",
+        },
     ];
     fn set(&mut self, key: &str, value: &str) -> Result<(), Unset> {
         match key {
@@ -1088,6 +1185,10 @@
                 self.connections = <u32 as Setting>::read(value)
                     .ok_or(Unset::Expected(<u32 as Setting>::EXPECTED))?;
             }
+            "ledger_writes" => {
+                self.ledger_writes = <u32 as Setting>::read(value)
+                    .ok_or(Unset::Expected(<u32 as Setting>::EXPECTED))?;
+            }
             _ => return Err(Unset::UnknownKey),
         }
         Ok(())
--- a/side/src/call.rs
+++ b/side/src/call.rs
@@ -1,5 +1,6 @@
 //! Calls that arrive over one connection.
 
+use crate::ledger;
 use crate::side::Side;
 use crate::upstream;
 use almondwell_configuration as configuration;
@@ -8,6 +9,7 @@
 use almondwell_wire::{Connection, Error};
 use async_std::future::timeout;
 use futures_lite::FutureExt;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Time in which the rest of a frame has to arrive.
@@ -16,7 +18,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
 
 /// Serves calls one after another until the connection closes or fails.
-pub(crate) async fn serve(side: &Side, mut connection: Connection) {
+pub(crate) async fn serve(side: &Arc<Side>, mut connection: Connection) {
     loop {
         match connection.read_within(IDLE_TIMEOUT, FRAME_TIMEOUT).await {
             Ok(Some(Frame::Run(run))) => {
@@ -25,7 +27,7 @@
                 }
             }
             Ok(Some(Frame::Fetch(fetch))) => {
-                let answer = configuration::answer(side, &fetch);
+                let answer = configuration::answer(&**side, &fetch);
                 if connection.write(&answer).await.is_err() {
                     return;
                 }
@@ -46,14 +48,20 @@
     }
 }
 
-async fn answer(side: &Side, connection: &mut Connection, run: Run) -> Result<(), Error> {
+async fn answer(side: &Arc<Side>, connection: &mut Connection, run: Run) -> Result<(), Error> {
     let ticket = run.ticket;
     let started = side.queue().start(side.clock.now(), ticket, run.request);
     if let Err(reason) = started {
         side.metrics.calls_refused.inc();
         return connection.write(&not_run(reason).into()).await;
     }
-    let place = Place { side, ticket };
+    let place = Place {
+        side: side.clone(),
+        ticket,
+    };
+    if ledger::applies(&run) {
+        return ledger::call(side, connection, run, place).await;
+    }
     let tcp = connection.tcp().clone();
     let left = run.left;
     let call = async {
@@ -74,12 +82,12 @@
 }
 
 /// Frees the place of a call when it ends, also when its task is dropped.
-struct Place<'a> {
-    side: &'a Side,
+pub(crate) struct Place {
+    side: Arc<Side>,
     ticket: u64,
 }
 
-impl Drop for Place<'_> {
+impl Drop for Place {
     fn drop(&mut self) {
         self.side.queue().finish(self.ticket);
     }
@@ -94,7 +102,7 @@
     }
 }
 
-fn late() -> Fault {
+pub(crate) fn late() -> Fault {
     Fault {
         verdict: Verdict::MayHaveRun,
         reason: Reason::Late,
--- a/side/src/listener.rs
+++ b/side/src/listener.rs
@@ -40,7 +40,7 @@
     });
 }
 
-async fn serve(side: &Side, tcp: TcpStream) {
+async fn serve(side: &Arc<Side>, tcp: TcpStream) {
     if !speaks(&tcp).await {
         side.metrics.connections_refused.inc();
         return;
--- a/side/src/main.rs
+++ b/side/src/main.rs
@@ -6,11 +6,13 @@
 mod configuration;
 mod control;
 mod entries;
+mod ledger;
 mod listener;
 mod liveness;
 mod metrics;
 mod run;
 mod side;
+mod sink;
 mod upstream;
 
 use almondwell_daemon::Command;
--- a/side/src/run.rs
+++ b/side/src/run.rs
@@ -63,5 +63,6 @@
     }
     // Requests on their way to an offer that has run out are still told that they were not run.
     task::sleep(LINGER).await;
+    side.ledger.flush().await;
     spdlog::info!("side stopped", kv: { id = side.settings.id.as_ref() });
 }
--- a/side/src/side.rs
+++ b/side/src/side.rs
@@ -1,6 +1,7 @@
 //! State that the tasks of a side share.
 
 use crate::entries::Entries;
+use crate::ledger::Ledger;
 use crate::metrics::Metrics;
 use almondwell_configuration::Replica;
 use almondwell_core::{Offer, Queue};
@@ -19,6 +20,7 @@
     /// Number of this run; never 0.
     pub(crate) epoch: Epoch,
     pub(crate) leaving: AtomicBool,
+    pub(crate) ledger: Ledger,
     pub(crate) metrics: Metrics,
     pub(crate) objects: Objects,
     pub(crate) replica: Replica,
@@ -33,11 +35,13 @@
         let seal = Seal::new(&settings.secret);
         let socket = Socket::bind(settings.control, seal.clone()).await?;
         let queue = Queue::new(settings.places.into(), settings.backlog as usize);
+        let clock = Clock::start();
         Ok(Self {
-            clock: Clock::start(),
+            clock,
             entries: Entries::default(),
             epoch: rand::random_range(1..=Epoch::MAX),
             leaving: AtomicBool::new(false),
+            ledger: Ledger::new(&settings, clock),
             metrics: Metrics::default(),
             objects: Objects::new(settings.platform),
             replica: Replica::default(),
--- /dev/null
+++ b/side/src/sink.rs
@@ -0,0 +1,22 @@
+//! Where the frames of an answer go.
+
+use almondwell_schema::Frame;
+use almondwell_wire::{Connection, Error};
+
+/// Takes the frames of an answer in order.
+pub(crate) trait Sink {
+    async fn write(&mut self, frame: &Frame) -> Result<(), Error>;
+}
+
+impl Sink for Connection {
+    async fn write(&mut self, frame: &Frame) -> Result<(), Error> {
+        Self::write(self, frame).await
+    }
+}
+
+impl Sink for Vec<Frame> {
+    async fn write(&mut self, frame: &Frame) -> Result<(), Error> {
+        self.push(frame.clone());
+        Ok(())
+    }
+}
--- a/side/src/upstream.rs
+++ b/side/src/upstream.rs
@@ -1,8 +1,9 @@
 //! One call to the upstream over HTTP.
 
 use crate::side::Side;
+use crate::sink::Sink;
 use almondwell_schema::{Chunk, End, Fault, Head, Header, Reason, Run, Verdict};
-use almondwell_wire::{Connection, Error};
+use almondwell_wire::Error;
 use async_std::io::ReadExt;
 use async_std::net::TcpStream;
 use http_types::{Method, Request, Response};
@@ -11,7 +12,7 @@
 const CHUNK: usize = 16 << 10;
 
 /// Runs `run` at the upstream and writes its answer to `connection`.
-pub(crate) async fn call(side: &Side, connection: &mut Connection, run: &Run) -> Result<(), Error> {
+pub(crate) async fn call(side: &Side, connection: &mut impl Sink, run: &Run) -> Result<(), Error> {
     let tcp = match TcpStream::connect(side.settings.upstream).await {
         Ok(tcp) => tcp,
         Err(error) => {
@@ -41,7 +42,7 @@
 
 async fn forward(
     side: &Side,
-    connection: &mut Connection,
+    connection: &mut impl Sink,
     mut response: Response,
 ) -> Result<(), Error> {
     let expected = response.len();
@@ -90,7 +91,7 @@
     }
 }
 
-async fn fail(connection: &mut Connection, verdict: Verdict, detail: &str) -> Result<(), Error> {
+async fn fail(connection: &mut impl Sink, verdict: Verdict, detail: &str) -> Result<(), Error> {
     let fault = Fault {
         verdict,
         reason: Reason::Unknown,
