Keep accepted work in the object API until it has ended

Cause: work without a waiting caller had no place outside the process that took it; a killed entry lost it.

Ruled out: a watch for each piece of work (each counts as a call); a lease renewed in each piece's object (its writes grow with the work that runs: 100 pieces at 10 s are 10 writes a second); the result written into the open object (one list would then carry every result kept).

Change: `Prefer: respond-async` answers 202 with Location once `work/live/open/ID` is written. Entries claim by conditional write, show with one heartbeat object that they live, and look with one list each 3 s, a quarter more or less. A result is written once to `work/done/ID` before the open object is removed, and is removed after work_kept. Work that may not be repeated runs through the ledger under the caller's key or its id. A planned stop finishes what runs. Under an idempotency key the id is the key's hash, so that a repeat finds the first.

Work whose pool has no upstream keeps its place at the entry that claimed it.

--- a/almondwell/src/catalog.rs
+++ b/almondwell/src/catalog.rs
@@ -38,6 +38,12 @@
         self.models.keys().map(|model| &**model)
     }
 
+    /// The service `name`.
+    pub(crate) fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        let mut services = self.models.values().chain(self.plains.values());
+        services.find(|service| &*service.name == name)
+    }
+
     /// The plain service `name`.
     pub(crate) fn plain(&self, name: &str) -> Option<&Arc<Service>> {
         self.plains.get(name)
--- a/almondwell/src/entry.rs
+++ b/almondwell/src/entry.rs
@@ -7,6 +7,7 @@
 use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::stored;
 use crate::waiters::Waiters;
 use almondwell_configuration::Replica;
 use almondwell_daemon::Clock;
@@ -36,6 +37,7 @@
     pub(crate) seal: Seal,
     pub(crate) settings: EntrySettings,
     pub(crate) socket: Socket,
+    pub(crate) stored: stored::State,
     pub(crate) waiters: Waiters,
     requests: AtomicU64,
 }
@@ -44,6 +46,8 @@
     pub(crate) async fn bind(settings: EntrySettings) -> Result<Self, Error> {
         let seal = Seal::new(&settings.secret);
         let socket = Socket::bind(settings.control, seal.clone()).await?;
+        let epoch = rand::random_range(1..=Epoch::MAX);
+        let stored_name = format!("{}.{epoch:016x}", settings.id);
         Ok(Self {
             burn: Arc::new(Burn::new(&settings)),
             catalog: ArcSwap::default(),
@@ -54,12 +58,13 @@
             objects: Objects::new(settings.platform),
             pool: Arc::default(),
             drain: Drain::default(),
-            epoch: rand::random_range(1..=Epoch::MAX),
+            epoch,
             members: Members::new(&settings.id),
             replica: Replica::default(),
             seal,
             settings,
             socket,
+            stored: stored::State::new(&stored_name),
             waiters: Waiters::default(),
             requests: AtomicU64::new(0),
         })
--- a/almondwell/src/handler.rs
+++ b/almondwell/src/handler.rs
@@ -5,7 +5,7 @@
 use crate::job::Job;
 use crate::observation::Observation;
 use crate::refusal::Refusal;
-use crate::{chat, headers, models, plain};
+use crate::{chat, headers, models, plain, stored};
 use almondwell_schema::RequestId;
 use http_types::{Method, Request, Response, StatusCode};
 use std::sync::Arc;
@@ -18,7 +18,9 @@
     let body = request.body_bytes().await.unwrap_or_default();
     match route(entry, &request, id, body) {
         Ok(Route::Answer(response)) => *response,
+        Ok(Route::Job(job)) if stored::is_asked(&request) => stored::accept(entry, &job).await,
         Ok(Route::Job(job)) => serve(entry, job).await,
+        Ok(Route::Work) => stored::look_up(entry, &request, id).await,
         Err(refusal) => {
             entry.metrics.reject(&refusal);
             refusal.response(id)
@@ -32,6 +34,8 @@
     Answer(Box<Response>),
     /// An upstream has to run it.
     Job(Arc<Job>),
+    /// The caller looks for stored work.
+    Work,
 }
 
 fn route(entry: &Entry, request: &Request, id: RequestId, body: Vec<u8>) -> Result<Route, Refusal> {
@@ -49,6 +53,7 @@
         (Method::Post, _) if is_plain => plain::job(entry, &catalog, request, id, body).map(job),
         (_, chat::PATH) => Err(Refusal::method("POST")),
         (_, _) if is_plain => Err(Refusal::method("POST")),
+        (Method::Get, _) if path.starts_with(stored::PATH) => Ok(Route::Work),
         (method, path) => Err(Refusal::invalid(
             StatusCode::NotFound,
             "unknown_path",
--- a/almondwell/src/main.rs
+++ b/almondwell/src/main.rs
@@ -49,6 +49,7 @@
 mod service_file;
 mod sides;
 mod status;
+mod stored;
 mod subcommand;
 mod waiters;
 
--- a/almondwell/src/serve.rs
+++ b/almondwell/src/serve.rs
@@ -1,7 +1,7 @@
 //! `almondwell serve`, the entry daemon.
 
 use crate::entry::Entry;
-use crate::{admin, configuration, control, listener, peers, probe, roster};
+use crate::{admin, configuration, control, listener, peers, probe, roster, stored};
 use almondwell_configuration::{gossip, watch};
 use almondwell_daemon::{Command, parse, set_up_logs, signals};
 use almondwell_schema::EntrySettings;
@@ -46,6 +46,7 @@
     spawn_loops(&entry);
     task::spawn(peers::accept(entry.clone(), peers));
     task::spawn(admin::serve(entry.clone()));
+    stored::serve(&entry);
     let accept = task::spawn(listener::accept(entry.clone(), listener));
     stop.recv().await?;
     leave(&entry, accept).await;
@@ -75,5 +76,6 @@
     entry.drain.quiet(settings.unready, settings.drain).await;
     accept.cancel().await;
     entry.drain.finish(settings.drain).await;
+    entry.stored.finish().await;
     spdlog::info!("entry stopped", kv: { id = settings.id.as_ref() });
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -7,6 +7,7 @@
 mod membership_subset;
 mod queue;
 mod sampler;
+pub mod stored;
 
 pub use membership::Membership;
 pub use membership_pulse::Pulse;
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -465,6 +465,63 @@
     pub number: u64,
     pub lines: Vec<Line>,
 }
+/// Identifier of stored work.
+pub type WorkId = u128;
+/// Stored work that has not ended.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Work {
+    pub service: Box<str>,
+    pub class: Box<str>,
+    pub workspace: Box<str>,
+    pub path: Box<str>,
+    pub headers: Vec<Header>,
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+    /// The caller's idempotency key.
+    pub key: Option<Box<str>>,
+    /// Hash of the class, path and body.
+    pub digest: u64,
+    /// Hash of the prompt's prefix; 0 for none.
+    pub prefix: u64,
+    /// Time since the Unix epoch.
+    pub accepted: Duration,
+    /// Entry that runs it.
+    pub holder: Option<Box<str>>,
+}
+/// Stored work that was refused in the end.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Refused {
+    pub code: Box<str>,
+    pub message: Box<str>,
+    pub verdict: Verdict,
+}
+/// How stored work ended.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Ending {
+    Kept(Kept),
+    Refused(Refused),
+}
+impl From<Kept> for Ending {
+    fn from(value: Kept) -> Self {
+        Self::Kept(value)
+    }
+}
+impl From<Refused> for Ending {
+    fn from(value: Refused) -> Self {
+        Self::Refused(value)
+    }
+}
+/// Stored work that has ended.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Ended {
+    pub service: Box<str>,
+    pub workspace: Box<str>,
+    /// Hash of the class, path and body.
+    pub digest: u64,
+    /// Time since the Unix epoch.
+    pub time: Duration,
+    pub ending: Ending,
+}
 /// One line of the platform's instance list.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Instance {
@@ -781,6 +838,12 @@
     pub peers: Vec<SocketAddr>,
     /// Sides asked for each request.
     pub samples: u8,
+    /// Time for which the result of stored work is kept.
+    pub work_kept: Duration,
+    /// Time between two looks for stored work.
+    pub work_period: Duration,
+    /// Stored work that runs at once.
+    pub work_places: u16,
     /// Callers' connections served at once.
     pub connections: u32,
     /// Time in which a request's head has to arrive.
@@ -813,6 +876,9 @@
             secret: crate::default_of(""),
             peers: crate::default_of(""),
             samples: crate::default_of("3"),
+            work_kept: crate::default_of("24h"),
+            work_period: crate::default_of("3s"),
+            work_places: crate::default_of("16"),
             connections: crate::default_of("4096"),
             head_timeout: crate::default_of("10s"),
             body_timeout: crate::default_of("30s"),
@@ -877,6 +943,21 @@
             default: "3",
             description: "Sides asked for each request.",
         },
+        Key {
+            name: "work_kept",
+            default: "24h",
+            description: "Time for which the result of stored work is kept.",
+        },
+        Key {
+            name: "work_period",
+            default: "3s",
+            description: "Time between two looks for stored work.",
+        },
+        Key {
+            name: "work_places",
+            default: "16",
+            description: "Stored work that runs at once.",
+        },
         Key {
             name: "connections",
             default: "4096",
@@ -965,6 +1046,18 @@
                 self.samples = <u8 as Setting>::read(value)
                     .ok_or(Unset::Expected(<u8 as Setting>::EXPECTED))?;
             }
+            "work_kept" => {
+                self.work_kept = <Duration as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
+            }
+            "work_period" => {
+                self.work_period = <Duration as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
+            }
+            "work_places" => {
+                self.work_places = <u16 as Setting>::read(value)
+                    .ok_or(Unset::Expected(<u16 as Setting>::EXPECTED))?;
+            }
             "connections" => {
                 self.connections = <u32 as Setting>::read(value)
                     .ok_or(Unset::Expected(<u32 as Setting>::EXPECTED))?;
--- a/tests/tests/main.rs
+++ b/tests/tests/main.rs
@@ -10,3 +10,4 @@
 mod raw;
 mod report;
 mod stop;
+mod stored;
