Merge the ledger and stored work

Cause: a keyed call ran again when its caller sent it again, and accepted work without a waiting caller had no place.

The quarantine's refusals and the ledger's are made in one place.

--- a/almondwell/src/call.rs
+++ b/almondwell/src/call.rs
@@ -3,11 +3,12 @@
 use crate::answer::Answer;
 use crate::entry::Entry;
 use crate::job::Job;
+use crate::once;
 use crate::pool::Pool;
-use crate::quarantine::{self, Suspects};
+use crate::quarantine::Suspects;
 use crate::refusal::Refusal;
 use almondwell_daemon::{Clock, Piece, Pipe};
-use almondwell_schema::{Crash, Fault, Fingerprint, Frame, Head, Reason, Run, Ticket, Verdict};
+use almondwell_schema::{Crash, Fault, Fingerprint, Frame, Head, Run, Ticket, Verdict};
 use almondwell_wire::Connection;
 use async_std::channel::{SendError, Sender};
 use async_std::future::timeout;
@@ -153,7 +154,7 @@
     match connection.read().await {
         Ok(Some(Frame::Fault(fault))) => {
             home.learn(&fault);
-            Err(refusal(fault))
+            Err(once::refusal(fault))
         }
         Ok(Some(frame)) => Ok(frame),
         Ok(None) => Err(Refusal::broken(
@@ -167,13 +168,6 @@
     }
 }
 
-fn refusal(fault: Fault) -> Refusal {
-    if fault.reason == Reason::Quarantined {
-        return quarantine::refused(fault.verdict);
-    }
-    Refusal::broken(fault.verdict, fault.detail)
-}
-
 fn unexpected(frame: &Frame) -> Refusal {
     let name = match frame {
         Frame::Chunk(_) => "chunk",
--- a/almondwell/src/main.rs
+++ b/almondwell/src/main.rs
@@ -28,6 +28,7 @@
 mod metrics;
 mod models;
 mod observation;
+mod once;
 mod outcome;
 mod peers;
 mod plain;
@@ -49,6 +50,7 @@
 mod service_file;
 mod sides;
 mod status;
+mod stored;
 mod subcommand;
 mod waiters;
 
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -91,8 +91,11 @@
 pub enum Reason {
     Expired,
     Full,
+    Interrupted,
+    KeyReused,
     Late,
     Leaving,
+    NotKept,
     Quarantined,
     Stalled,
     StoreDown,
@@ -103,8 +106,11 @@
     pub const ALL: &'static [Self] = &[
         Self::Expired,
         Self::Full,
+        Self::Interrupted,
+        Self::KeyReused,
         Self::Late,
         Self::Leaving,
+        Self::NotKept,
         Self::Quarantined,
         Self::Stalled,
         Self::StoreDown,
@@ -115,8 +121,11 @@
         match self {
             Self::Expired => "expired",
             Self::Full => "full",
+            Self::Interrupted => "interrupted",
+            Self::KeyReused => "key-reused",
             Self::Late => "late",
             Self::Leaving => "leaving",
+            Self::NotKept => "not-kept",
             Self::Quarantined => "quarantined",
             Self::Stalled => "stalled",
             Self::StoreDown => "store-down",
@@ -125,7 +134,7 @@
     }
 }
 impl Setting for Reason {
-    const EXPECTED: &'static str = "expired or full or late or leaving or quarantined or stalled or store-down or unknown";
+    const EXPECTED: &'static str = "expired or full or interrupted or key-reused or late or leaving or not-kept or quarantined or stalled or store-down or unknown";
     fn read(text: &str) -> Option<Self> {
         Self::ALL.iter().copied().find(|variant| variant.label() == text)
     }
@@ -436,6 +445,143 @@
     pub written: Duration,
     pub suspects: Vec<Suspect>,
 }
+/// Hash of a service, a workspace and a caller's idempotency key.
+pub type CallKey = u128;
+/// Identifier of one attempt to run a call, unique across sides.
+pub type RunId = u64;
+/// A call is about to run.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Intent {
+    pub key: CallKey,
+    pub run: RunId,
+    /// Hash of the call's class, path and body.
+    pub digest: u64,
+    /// Time since the Unix epoch.
+    pub stamp: Duration,
+}
+/// An answer kept for repeats of its call.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Kept {
+    pub status: u16,
+    pub headers: Vec<Header>,
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
+/// A call has run to its end.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Outcome {
+    pub key: CallKey,
+    pub run: RunId,
+    /// Its answer, unless that was too long to keep.
+    pub answer: Option<Kept>,
+}
+/// A call was given up before it reached the upstream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Release {
+    pub key: CallKey,
+    pub run: RunId,
+}
+/// One record of the ledger.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Record {
+    Intent(Intent),
+    Outcome(Outcome),
+    Release(Release),
+}
+impl From<Intent> for Record {
+    fn from(value: Intent) -> Self {
+        Self::Intent(value)
+    }
+}
+impl From<Outcome> for Record {
+    fn from(value: Outcome) -> Self {
+        Self::Outcome(value)
+    }
+}
+impl From<Release> for Record {
+    fn from(value: Release) -> Self {
+        Self::Release(value)
+    }
+}
+/// Records of one write to a ledger shard's log.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Segment {
+    /// Position in the log, from 1.
+    pub number: u64,
+    /// Process that wrote it.
+    pub holder: u64,
+    pub records: Vec<Record>,
+}
+/// State of one call in a checkpoint.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Line {
+    pub intent: Intent,
+    pub outcome: Option<Outcome>,
+}
+/// State of a ledger shard after a segment.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Checkpoint {
+    /// Number of the last segment it covers.
+    pub number: u64,
+    pub lines: Vec<Line>,
+}
+/// Identifier of stored work.
+pub type WorkId = u128;
+/// Stored work that has not ended.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Work {
+    pub service: Box<str>,
+    pub class: Box<str>,
+    pub workspace: Box<str>,
+    pub path: Box<str>,
+    pub headers: Vec<Header>,
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+    /// The caller's idempotency key.
+    pub key: Option<Box<str>>,
+    /// Hash of the class, path and body.
+    pub digest: u64,
+    /// Hash of the prompt's prefix; 0 for none.
+    pub prefix: u64,
+    /// Time since the Unix epoch.
+    pub accepted: Duration,
+    /// Entry that runs it.
+    pub holder: Option<Box<str>>,
+}
+/// Stored work that was refused in the end.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Refused {
+    pub code: Box<str>,
+    pub message: Box<str>,
+    pub verdict: Verdict,
+}
+/// How stored work ended.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Ending {
+    Kept(Kept),
+    Refused(Refused),
+}
+impl From<Kept> for Ending {
+    fn from(value: Kept) -> Self {
+        Self::Kept(value)
+    }
+}
+impl From<Refused> for Ending {
+    fn from(value: Refused) -> Self {
+        Self::Refused(value)
+    }
+}
+/// Stored work that has ended.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Ended {
+    pub service: Box<str>,
+    pub workspace: Box<str>,
+    /// Hash of the class, path and body.
+    pub digest: u64,
+    /// Time since the Unix epoch.
+    pub time: Duration,
+    pub ending: Ending,
+}
 /// One line of the platform's instance list.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Instance {
@@ -752,6 +898,12 @@
     pub peers: Vec<SocketAddr>,
     /// Sides asked for each request.
     pub samples: u8,
+    /// Time for which the result of stored work is kept.
+    pub work_kept: Duration,
+    /// Time between two looks for stored work.
+    pub work_period: Duration,
+    /// Stored work that runs at once.
+    pub work_places: u16,
     /// Callers' connections served at once.
     pub connections: u32,
     /// Time in which a request's head has to arrive.
@@ -784,6 +936,9 @@
             secret: crate::default_of(""),
             peers: crate::default_of(""),
             samples: crate::default_of("3"),
+            work_kept: crate::default_of("24h"),
+            work_period: crate::default_of("3s"),
+            work_places: crate::default_of("16"),
             connections: crate::default_of("4096"),
             head_timeout: crate::default_of("10s"),
             body_timeout: crate::default_of("30s"),
@@ -848,6 +1003,21 @@
             default: "3",
             description: "Sides asked for each request.",
         },
+        Key {
+            name: "work_kept",
+            default: "24h",
+            description: "Time for which the result of stored work is kept.",
+        },
+        Key {
+            name: "work_period",
+            default: "3s",
+            description: "Time between two looks for stored work.",
+        },
+        Key {
+            name: "work_places",
+            default: "16",
+            description: "Stored work that runs at once.",
+        },
         Key {
             name: "connections",
             default: "4096",
@@ -936,6 +1106,18 @@
                 self.samples = <u8 as Setting>::read(value)
                     .ok_or(Unset::Expected(<u8 as Setting>::EXPECTED))?;
             }
+            "work_kept" => {
+                self.work_kept = <Duration as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
+            }
+            "work_period" => {
+                self.work_period = <Duration as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
+            }
+            "work_places" => {
+                self.work_places = <u16 as Setting>::read(value)
+                    .ok_or(Unset::Expected(<u16 as Setting>::EXPECTED))?;
+            }
             "connections" => {
                 self.connections = <u32 as Setting>::read(value)
                     .ok_or(Unset::Expected(<u32 as Setting>::EXPECTED))?;
@@ -1006,6 +1188,8 @@
     pub backlog: u32,
     /// Connections from entries served at once.
     pub connections: u32,
+    /// Store writes a second that a service's ledger may make in the whole fleet.
+    pub ledger_writes: u32,
 }
 impl Default for SideSettings {
     fn default() -> Self {
@@ -1023,6 +1207,7 @@
             places: crate::default_of("16"),
             backlog: crate::default_of("4096"),
             connections: crate::default_of("1024"),
+            ledger_writes: crate::default_of("100"),
         }
     }
 }
@@ -1093,6 +1278,11 @@
             default: "1024",
             description: "Connections from entries served at once.",
         },
+        Key {
+            name: "ledger_writes",
+            default: "100",
+            description: "Store writes a second that a service's ledger may make in the whole fleet.",
+        },
     ];
     fn set(&mut self, key: &str, value: &str) -> Result<(), Unset> {
         match key {
@@ -1148,6 +1338,10 @@
                 self.connections = <u32 as Setting>::read(value)
                     .ok_or(Unset::Expected(<u32 as Setting>::EXPECTED))?;
             }
+            "ledger_writes" => {
+                self.ledger_writes = <u32 as Setting>::read(value)
+                    .ok_or(Unset::Expected(<u32 as Setting>::EXPECTED))?;
+            }
             _ => return Err(Unset::UnknownKey),
         }
         Ok(())
--- a/side/src/main.rs
+++ b/side/src/main.rs
@@ -7,12 +7,14 @@
 mod control;
 mod entries;
 mod health;
+mod ledger;
 mod listener;
 mod liveness;
 mod metrics;
 mod quarantine;
 mod run;
 mod side;
+mod sink;
 mod upstream;
 
 use almondwell_daemon::Command;
--- a/side/src/side.rs
+++ b/side/src/side.rs
@@ -2,6 +2,7 @@
 
 use crate::entries::Entries;
 use crate::health::Health;
+use crate::ledger::Ledger;
 use crate::metrics::Metrics;
 use crate::quarantine::Suspects;
 use almondwell_configuration::Replica;
@@ -22,6 +23,7 @@
     pub(crate) epoch: Epoch,
     pub(crate) health: Health,
     pub(crate) leaving: AtomicBool,
+    pub(crate) ledger: Ledger,
     pub(crate) metrics: Metrics,
     pub(crate) objects: Objects,
     pub(crate) replica: Replica,
@@ -37,12 +39,14 @@
         let seal = Seal::new(&settings.secret);
         let socket = Socket::bind(settings.control, seal.clone()).await?;
         let queue = Queue::new(settings.places.into(), settings.backlog as usize);
+        let clock = Clock::start();
         Ok(Self {
-            clock: Clock::start(),
+            clock,
             entries: Entries::default(),
             epoch: rand::random_range(1..=Epoch::MAX),
             health: Health::default(),
             leaving: AtomicBool::new(false),
+            ledger: Ledger::new(&settings, clock),
             metrics: Metrics::default(),
             objects: Objects::new(settings.platform),
             replica: Replica::default(),
--- a/side/src/upstream.rs
+++ b/side/src/upstream.rs
@@ -2,8 +2,9 @@
 
 use crate::quarantine::{self, Stay};
 use crate::side::Side;
+use crate::sink::Sink;
 use almondwell_schema::{Chunk, Crash, End, Fault, Head, Header, Reason, Run, Verdict};
-use almondwell_wire::{Connection, Error};
+use almondwell_wire::Error;
 use async_std::io::ReadExt;
 use async_std::net::TcpStream;
 use http_types::{Method, Request, Response};
@@ -12,7 +13,7 @@
 const CHUNK: usize = 16 << 10;
 
 /// Runs `run` at the upstream and writes its answer to `connection`.
-pub(crate) async fn call(side: &Side, connection: &mut Connection, run: &Run) -> Result<(), Error> {
+pub(crate) async fn call(side: &Side, connection: &mut impl Sink, run: &Run) -> Result<(), Error> {
     let stay = match quarantine::admit(side, run).await {
         Ok(stay) => stay,
         Err(fault) => return connection.write(&fault.into()).await,
@@ -48,7 +49,7 @@
 async fn forward(
     stay: &Stay<'_>,
     side: &Side,
-    connection: &mut Connection,
+    connection: &mut impl Sink,
     mut response: Response,
 ) -> Result<(), Error> {
     let expected = response.len();
@@ -98,13 +99,13 @@
     }
 }
 
-async fn broken(stay: &Stay<'_>, connection: &mut Connection, detail: &str) -> Result<(), Error> {
+async fn broken(stay: &Stay<'_>, connection: &mut impl Sink, detail: &str) -> Result<(), Error> {
     let crashes = stay.broke().await;
     fail(connection, Verdict::MayHaveRun, detail, crashes).await
 }
 
 async fn fail(
-    connection: &mut Connection,
+    connection: &mut impl Sink,
     verdict: Verdict,
     detail: &str,
     crashes: Vec<Crash>,
