--- a/fakes/src/engine.rs
+++ b/fakes/src/engine.rs
@@ -20,6 +20,8 @@
     pub address: SocketAddr,
     /// Requests it runs at once.
     pub batch: u64,
+    /// Whether it refuses orders with an old fencing number.
+    pub fenced: bool,
     /// Time to the first token.
     pub prefill: Duration,
     /// Time between tokens.
@@ -32,6 +34,7 @@
         Ok(Self {
             address: address(flags, "address")?,
             batch: flag(flags, "batch", 16)?,
+            fenced: flag(flags, "fenced", false)?,
             prefill: Duration::from_millis(flag(flags, "prefill-ms", 20)?),
             token: Duration::from_millis(flag(flags, "token-ms", 5)?),
         })
@@ -53,7 +56,11 @@
 struct Engine {
     cancelled: AtomicU64,
     faults: Mutex<Faults>,
+    /// Orders refused for their number.
+    fenced: AtomicU64,
     finished: AtomicU64,
+    /// Highest fencing number of an order.
+    order: AtomicU64,
     running: AtomicU64,
     settings: Settings,
     started: AtomicU64,
@@ -64,6 +71,20 @@
         *self.faults.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether the order's number is at least that of any order before it.
+    fn accepts(&self, request: &Request) -> bool {
+        if !self.settings.fenced {
+            return true;
+        }
+        let number = request
+            .header("Almondwell-Order")
+            .and_then(|values| values.as_str().parse().ok())
+            .unwrap_or(0);
+        let is_old = self.order.fetch_max(number, Ordering::AcqRel) > number;
+        self.fenced.fetch_add(u64::from(is_old), Ordering::Relaxed);
+        !is_old
+    }
+
     async fn pause(&self, time: Duration) {
         task::sleep(time * self.faults().slow.max(1)).await;
         while self.faults().stall {
@@ -99,7 +120,9 @@
     let engine = Arc::new(Engine {
         cancelled: AtomicU64::new(0),
         faults: Mutex::default(),
+        fenced: AtomicU64::new(0),
         finished: AtomicU64::new(0),
+        order: AtomicU64::new(0),
         running: AtomicU64::new(0),
         settings,
         started: AtomicU64::new(0),
@@ -121,6 +144,7 @@
         "/health" => Ok(status(StatusCode::Ok)),
         "/records" => Ok(json(&json!({
             "cancelled": engine.cancelled.load(Ordering::Relaxed),
+            "fenced": engine.fenced.load(Ordering::Relaxed),
             "finished": engine.finished.load(Ordering::Relaxed),
             "running": engine.running.load(Ordering::Relaxed),
             "started": engine.started.load(Ordering::Relaxed),
@@ -132,6 +156,9 @@
 
 async fn complete(engine: Arc<Engine>, mut request: Request) -> http_types::Result<Response> {
     let prompt: Prompt = request.body_json().await?;
+    if !engine.accepts(&request) {
+        return Ok(status(StatusCode::PreconditionFailed));
+    }
     if engine.faults().crash || prompt.metadata.crash {
         std::process::exit(86);
     }
--- a/fakes/src/replacement.rs
+++ b/fakes/src/replacement.rs
@@ -1,6 +1,6 @@
 //! Replaces processes of a set, as a platform does.
 
-use crate::process::free_address;
+use crate::process::{Process, free_address};
 use crate::set::{Set, instance, wait_ready};
 use almondwell_schema::{Instance, Role};
 use eyre::Result;
@@ -27,8 +27,19 @@
     /// Ends the side `index`, if it still runs, and starts the side `id` before the same upstream.
     pub async fn replace_side(&mut self, index: usize, id: &str, place: Place) -> Result<()> {
         self.upstreams[index].side.kill();
+        let old = self.upstreams[index].id.clone();
+        let side = self.succeed_side(index, id, place).await?;
+        drop(side);
+        if old != id {
+            self.unregister(&old).await?;
+        }
+        Ok(())
+    }
+
+    /// Starts the side `id` before the upstream of the side `index`; returns the old side, which
+    /// is left alone, also in the instance list.
+    pub async fn succeed_side(&mut self, index: usize, id: &str, place: Place) -> Result<Process> {
         let upstream = &self.upstreams[index];
-        let old = upstream.id.clone();
         let [control, admin] = match place {
             Place::New => [free_address()?, free_address()?],
             Place::Same => [upstream.control, upstream.admin],
@@ -41,14 +52,12 @@
         let side = self.start_side(id, &upstream.pool, addresses, places)?;
         wait_ready(admin, "/live").await?;
         let upstream = &mut self.upstreams[index];
-        upstream.side = side;
+        let old = std::mem::replace(&mut upstream.side, side);
         upstream.control = control;
         upstream.admin = admin;
         upstream.id = id.to_string();
-        if old != id {
-            self.unregister(&old).await?;
-        }
-        self.register(&self.side_line(index)).await
+        self.register(&self.side_line(index)).await?;
+        Ok(old)
     }
 
     /// Ends the entry `index`, if it still runs, and starts another under the same id.
--- a/fakes/src/set.rs
+++ b/fakes/src/set.rs
@@ -92,6 +92,8 @@
     pub entries: usize,
     /// Flags added to each entry.
     pub entry_flags: Vec<(String, String)>,
+    /// Whether engines refuse orders with an old fencing number.
+    pub fenced: bool,
     /// Lag of the instance list.
     pub lag: Duration,
     /// Plain order desks, one side each.
@@ -115,6 +117,7 @@
             engines: 2,
             entries: 2,
             entry_flags: Vec::new(),
+            fenced: false,
             lag: Duration::ZERO,
             plains: 1,
             prefill: Duration::from_millis(10),
@@ -231,6 +234,7 @@
         let settings = &self.settings;
         let extra = [
             ("batch", settings.batch.to_string()),
+            ("fenced", settings.fenced.to_string()),
             ("prefill-ms", settings.prefill.as_millis().to_string()),
             ("token-ms", settings.token.as_millis().to_string()),
         ];
@@ -284,6 +288,10 @@
         [control, admin, upstream]: [SocketAddr; 3],
         places: u32,
     ) -> Result<Process> {
+        let fenced = match (pool, self.settings.fenced) {
+            ("drafting", true) => "yes",
+            (_, _) => "no",
+        };
         let mut arguments = pairs(&[
             ("id", id.to_string()),
             ("pool", pool.to_string()),
@@ -295,6 +303,7 @@
             ("upstream", upstream.to_string()),
             ("secret", SECRET.to_string()),
             ("places", places.to_string()),
+            ("fenced", fenced.to_string()),
         ]);
         arguments.extend(pairs(&self.settings.side_flags));
         Process::start("almondwell-side", &arguments)
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -940,6 +940,8 @@
     pub secret: Box<str>,
     /// Control addresses asked for the configuration while the platform is down, separated by commas.
     pub peers: Vec<SocketAddr>,
+    /// Whether the upstream refuses orders with an old fencing number.
+    pub fenced: bool,
     /// Requests the upstream runs at once.
     pub places: u16,
     /// Reservations that may wait.
@@ -960,6 +962,7 @@
             upstream: crate::default_of("127.0.0.1:8100"),
             secret: crate::default_of(""),
             peers: crate::default_of(""),
+            fenced: crate::default_of("no"),
             places: crate::default_of("16"),
             backlog: crate::default_of("4096"),
             connections: crate::default_of("1024"),
@@ -1018,6 +1021,11 @@
             default: "",
             description: "Control addresses asked for the configuration while the platform is down, separated by commas.",
         },
+        Key {
+            name: "fenced",
+            default: "no",
+            description: "Whether the upstream refuses orders with an old fencing number.",
+        },
         Key {
             name: "places",
             default: "16",
@@ -1076,6 +1084,10 @@
                 self.peers = <Vec<SocketAddr> as Setting>::read(value)
                     .ok_or(Unset::Expected(<Vec<SocketAddr> as Setting>::EXPECTED))?;
             }
+            "fenced" => {
+                self.fenced = <bool as Setting>::read(value)
+                    .ok_or(Unset::Expected(<bool as Setting>::EXPECTED))?;
+            }
             "places" => {
                 self.places = <u16 as Setting>::read(value)
                     .ok_or(Unset::Expected(<u16 as Setting>::EXPECTED))?;
--- a/side/src/main.rs
+++ b/side/src/main.rs
@@ -9,9 +9,11 @@
 mod listener;
 mod liveness;
 mod metrics;
+mod order;
 mod run;
 mod side;
 mod upstream;
+mod withdrawal;
 
 use almondwell_daemon::Command;
 use eyre::Result;
--- a/side/src/run.rs
+++ b/side/src/run.rs
@@ -1,15 +1,14 @@
 //! Runs a side from start to stop.
 
 use crate::side::Side;
-use crate::{admin, announcement, configuration, control, listener};
+use crate::{admin, configuration, control, listener, order, withdrawal};
 use almondwell_configuration::{gossip, watch};
 use almondwell_daemon::{set_up_logs, signals};
-use almondwell_schema::{Reason, SideSettings};
+use almondwell_schema::SideSettings;
 use async_std::net::TcpListener;
 use async_std::task;
 use eyre::{Result, WrapErr};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 const IDLE_PERIOD: Duration = Duration::from_millis(20);
@@ -45,6 +44,8 @@
     task::spawn(async move { watch(&*watcher).await });
     let gossiper = side.clone();
     task::spawn(async move { gossip(&*gossiper).await });
+    let claimer = side.clone();
+    task::spawn(async move { order::claim(&claimer).await });
     let starter = side.clone();
     task::spawn(async move { configuration::start(&starter).await });
 }
@@ -52,12 +53,7 @@
 /// Refuses what waits, tells the entries, and finishes what runs.
 async fn leave(side: &Side) {
     spdlog::info!("side is leaving", kv: { id = side.settings.id.as_ref() });
-    side.leaving.store(true, Ordering::Release);
-    let waiting = side.queue().leave();
-    for reservation in waiting {
-        control::refuse(side, reservation.request, Reason::Leaving, reservation.from).await;
-    }
-    announcement::run(side).await;
+    withdrawal::run(side).await;
     while !side.queue().is_idle() {
         task::sleep(IDLE_PERIOD).await;
     }
--- a/side/src/side.rs
+++ b/side/src/side.rs
@@ -2,6 +2,7 @@
 
 use crate::entries::Entries;
 use crate::metrics::Metrics;
+use crate::order::Order;
 use almondwell_configuration::Replica;
 use almondwell_core::{Offer, Queue};
 use almondwell_daemon::Clock;
@@ -21,6 +22,7 @@
     pub(crate) leaving: AtomicBool,
     pub(crate) metrics: Metrics,
     pub(crate) objects: Objects,
+    pub(crate) order: Order,
     pub(crate) replica: Replica,
     pub(crate) seal: Seal,
     pub(crate) settings: SideSettings,
@@ -40,6 +42,7 @@
             leaving: AtomicBool::new(false),
             metrics: Metrics::default(),
             objects: Objects::new(settings.platform),
+            order: Order::default(),
             replica: Replica::default(),
             seal,
             settings,
--- a/side/src/upstream.rs
+++ b/side/src/upstream.rs
@@ -1,17 +1,22 @@
 //! One call to the upstream over HTTP.
 
 use crate::side::Side;
+use crate::{order, withdrawal};
 use almondwell_schema::{Chunk, End, Fault, Head, Header, Reason, Run, Verdict};
 use almondwell_wire::{Connection, Error};
 use async_std::io::ReadExt;
 use async_std::net::TcpStream;
-use http_types::{Method, Request, Response};
+use http_types::{Method, Request, Response, StatusCode};
 use std::time::Duration;
 
 const CHUNK: usize = 16 << 10;
 
 /// Runs `run` at the upstream and writes its answer to `connection`.
 pub(crate) async fn call(side: &Side, connection: &mut Connection, run: &Run) -> Result<(), Error> {
+    if side.settings.fenced && side.order.number().is_none() {
+        let detail = "the side has no fencing number yet; the object API does not answer";
+        return fail(connection, Verdict::NotRun, detail).await;
+    }
     let tcp = match TcpStream::connect(side.settings.upstream).await {
         Ok(tcp) => tcp,
         Err(error) => {
@@ -21,6 +26,13 @@
     };
     tcp.set_nodelay(true)?;
     match async_h1::connect(tcp, request(side, run)).await {
+        Ok(response) if is_fenced_off(side, &response) => {
+            let detail = "another process gives the upstream its orders now";
+            spdlog::error!("side is superseded", kv: { id = side.settings.id.as_ref() });
+            let answered = fail(connection, Verdict::NotRun, detail).await;
+            withdrawal::run(side).await;
+            answered
+        }
         Ok(response) => forward(side, connection, response).await,
         Err(error) => {
             side.metrics.upstream_failures.inc();
@@ -35,10 +47,18 @@
     for header in &run.headers {
         request.insert_header(&*header.name, &*header.value);
     }
+    if let Some(number) = side.order.number() {
+        request.insert_header(order::HEADER, number.to_string());
+    }
     request.set_body(run.body.as_slice());
     request
 }
 
+/// Whether the upstream has refused the order for its number, and so has not run it.
+fn is_fenced_off(side: &Side, response: &Response) -> bool {
+    side.settings.fenced && response.status() == StatusCode::PreconditionFailed
+}
+
 async fn forward(
     side: &Side,
     connection: &mut Connection,
