--- a/side/src/main.rs
+++ b/side/src/main.rs
@@ -11,11 +11,13 @@
 mod listener;
 mod liveness;
 mod metrics;
+mod order;
 mod quarantine;
 mod run;
 mod side;
 mod sink;
 mod upstream;
+mod withdrawal;
 
 use almondwell_daemon::Command;
 use eyre::Result;
--- a/side/src/side.rs
+++ b/side/src/side.rs
@@ -4,6 +4,7 @@
 use crate::health::Health;
 use crate::ledger::Ledger;
 use crate::metrics::Metrics;
+use crate::order::Order;
 use crate::quarantine::Suspects;
 use almondwell_configuration::Replica;
 use almondwell_core::{Offer, Queue};
@@ -26,6 +27,7 @@
     pub(crate) ledger: Ledger,
     pub(crate) metrics: Metrics,
     pub(crate) objects: Objects,
+    pub(crate) order: Order,
     pub(crate) replica: Replica,
     pub(crate) seal: Seal,
     pub(crate) settings: SideSettings,
@@ -49,6 +51,7 @@
             ledger: Ledger::new(&settings, clock),
             metrics: Metrics::default(),
             objects: Objects::new(settings.platform),
+            order: Order::default(),
             replica: Replica::default(),
             seal,
             settings,
--- a/side/src/upstream.rs
+++ b/side/src/upstream.rs
@@ -3,17 +3,22 @@
 use crate::quarantine::{self, Stay};
 use crate::side::Side;
 use crate::sink::Sink;
+use crate::{order, withdrawal};
 use almondwell_schema::{Chunk, Crash, End, Fault, Head, Header, Reason, Run, Verdict};
 use almondwell_wire::Error;
 use async_std::io::ReadExt;
 use async_std::net::TcpStream;
-use http_types::{Method, Request, Response};
+use http_types::{Method, Request, Response, StatusCode};
 use std::time::Duration;
 
 const CHUNK: usize = 16 << 10;
 
 /// Runs `run` at the upstream and writes its answer to `connection`.
 pub(crate) async fn call(side: &Side, connection: &mut impl Sink, run: &Run) -> Result<(), Error> {
+    if side.settings.fenced && side.order.number().is_none() {
+        let detail = "the side has no fencing number yet; the object API does not answer";
+        return fail(connection, Verdict::NotRun, detail, Vec::new()).await;
+    }
     let stay = match quarantine::admit(side, run).await {
         Ok(stay) => stay,
         Err(fault) => return connection.write(&fault.into()).await,
@@ -28,6 +33,13 @@
     };
     tcp.set_nodelay(true)?;
     match async_h1::connect(tcp, request(side, run)).await {
+        Ok(response) if is_fenced_off(side, &response) => {
+            let detail = "another process gives the upstream its orders now";
+            spdlog::error!("side is superseded", kv: { id = side.settings.id.as_ref() });
+            let answered = fail(connection, Verdict::NotRun, detail, Vec::new()).await;
+            withdrawal::run(side).await;
+            answered
+        }
         Ok(response) => forward(&stay, side, connection, response).await,
         Err(error) => {
             side.metrics.upstream_failures.inc();
@@ -42,10 +54,18 @@
     for header in &run.headers {
         request.insert_header(&*header.name, &*header.value);
     }
+    if let Some(number) = side.order.number() {
+        request.insert_header(order::HEADER, number.to_string());
+    }
     request.set_body(run.body.as_slice());
     request
 }
 
+/// Whether the upstream has refused the order for its number, and so has not run it.
+fn is_fenced_off(side: &Side, response: &Response) -> bool {
+    side.settings.fenced && response.status() == StatusCode::PreconditionFailed
+}
+
 async fn forward(
     stay: &Stay<'_>,
     side: &Side,
