Write the operators' and developers' pages and run what they show

Ruled out: tables of settings written by hand and left alone, since they go stale; tests compare them with the schema and with the metrics that real processes serve, and say which row is missing.

Commands of the pages run against a set of real processes, the README's request is sent as it stands and its demonstration is run.

--- a/daemon/src/counts.rs
+++ b/daemon/src/counts.rs
@@ -13,8 +13,8 @@
     fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
         for (name, value) in (self.0)() {
             let counter = ConstCounter::new(value);
-            let help = "Count since the process started";
-            let metric = encoder.encode_descriptor(name, help, None, counter.metric_type())?;
+            let help = format!("Count of {}", name.replace('_', " "));
+            let metric = encoder.encode_descriptor(name, &help, None, counter.metric_type())?;
             counter.encode(metric)?;
         }
         Ok(())
--- a/tests/tests/main.rs
+++ b/tests/tests/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod cli;
 mod configuration;
+mod docs;
 mod faults;
 mod membership;
 mod outage;
