Pass long answers on while they arrive and bound the memory of frames

Cause: an entry kept each whole answer up to 16 MiB and gave up a longer one that had run; frames of all connections could take 5 MiB each, sealed or not.

Ruled out: a limit on all answers together, since a refusal would lose an answer that ran; a reservation by a frame's stated length, since a forged length would take memory that it never fills.

Change: from 256 KiB on an answer is passed on as it arrives; the bytes of frames that have arrived in part share 128 MiB of a process. The tests of the control ports have their own file; metrics of running processes are read in one place.

--- a/almondwell/src/call.rs
+++ b/almondwell/src/call.rs
@@ -2,25 +2,20 @@
 
 use crate::answer::Answer;
 use crate::entry::Entry;
+use crate::home::Home;
 use crate::job::Job;
-use crate::pool::Pool;
-use crate::quarantine::{self, Suspects};
+use crate::pump;
+use crate::quarantine;
 use crate::refusal::Refusal;
-use almondwell_daemon::{Clock, Piece, Pipe};
-use almondwell_schema::{Crash, Fault, Fingerprint, Frame, Head, Reason, Run, Ticket, Verdict};
+use almondwell_schema::{Crash, Fault, Frame, Head, Reason, Run, Ticket, Verdict};
 use almondwell_wire::Connection;
-use async_std::channel::{SendError, Sender};
 use async_std::future::timeout;
-use async_std::task;
-use futures_lite::FutureExt;
-use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Longest answer that is not a stream, in bytes.
-const MAX_ANSWER: usize = 16 << 20;
+/// Longest answer that is kept whole; what is longer is passed on while it arrives.
+const MAX_WHOLE: usize = 256 << 10;
 
 /// Sends `job` to `side` and reads its answer, or the head of it for a stream.
 pub(crate) async fn run(
@@ -40,13 +35,7 @@
             format!("a side could not be sent the request: {error}"),
         ));
     }
-    let home = Home {
-        clock: entry.clock,
-        fingerprint: job.fingerprint,
-        pool: entry.pool.clone(),
-        side,
-        suspects: entry.suspects.clone(),
-    };
+    let home = Home::new(entry, job, side);
     match timeout(left, read(connection, home, left)).await {
         Ok(result) => result,
         Err(_) => Err(Refusal::broken(
@@ -74,27 +63,6 @@
     }
 }
 
-/// Where a connection goes after a whole answer.
-struct Home {
-    clock: Clock,
-    fingerprint: Fingerprint,
-    pool: Arc<Pool>,
-    side: SocketAddr,
-    suspects: Arc<Suspects>,
-}
-
-impl Home {
-    fn learn(&self, fault: &Fault) {
-        let now = self.clock.now();
-        self.suspects.learn(now, self.fingerprint, &fault.crashes);
-    }
-
-    fn keep(&self, connection: Connection) {
-        self.suspects.passed(self.clock.now(), self.fingerprint);
-        self.pool.keep(self.side, connection, self.clock.now());
-    }
-}
-
 fn frame(job: &Job, ticket: Ticket, left: Duration, crashes: Vec<Crash>) -> Run {
     Run {
         request: job.request,
@@ -120,21 +88,8 @@
         Frame::Head(head) => head,
         frame => return Err(unexpected(&frame)),
     };
-    if is_stream(&head) {
-        let (sender, pipe, dropped) = Pipe::guarded();
-        task::spawn(async move {
-            let pump = async {
-                let _ = pump(connection, &sender, &home).await;
-            };
-            let cancelled = async {
-                let _ = timeout(left, dropped.recv()).await;
-            };
-            pump.or(cancelled).await;
-        });
-        return Ok(Answer::Stream(head, pipe));
-    }
     let mut body = Vec::new();
-    loop {
+    while !is_stream(&head) && body.len() < MAX_WHOLE {
         match next(&mut connection, &home).await? {
             Frame::Chunk(chunk) => body.extend_from_slice(&chunk.bytes),
             Frame::End(end) if end.length == body.len() as u64 => {
@@ -143,10 +98,11 @@
             }
             frame => return Err(unexpected(&frame)),
         }
-        if body.len() > MAX_ANSWER {
-            return Err(Refusal::broken(Verdict::Ran, "the answer is too long"));
-        }
     }
+    Ok(Answer::Stream(
+        head,
+        pump::start(connection, home, left, body),
+    ))
 }
 
 async fn next(connection: &mut Connection, home: &Home) -> Result<Frame, Refusal> {
@@ -195,35 +151,3 @@
         &*header.name == "content-type" && header.value.starts_with("text/event-stream")
     })
 }
-
-/// Passes the body on until its end; anything else breaks the caller's stream off.
-async fn pump(
-    mut connection: Connection,
-    sender: &Sender<Piece>,
-    home: &Home,
-) -> Result<(), SendError<Piece>> {
-    let mut length = 0;
-    loop {
-        match connection.read().await {
-            Ok(Some(Frame::Chunk(chunk))) if !chunk.bytes.is_empty() => {
-                length += chunk.bytes.len() as u64;
-                sender.send(Ok(chunk.bytes)).await?;
-            }
-            Ok(Some(Frame::End(end))) if end.length == length => {
-                home.keep(connection);
-                return sender.send(Ok(Vec::new())).await;
-            }
-            Ok(frame) => {
-                if let Some(Frame::Fault(fault)) = &frame {
-                    home.learn(fault);
-                }
-                let broken = Err(io::ErrorKind::ConnectionAborted.into());
-                return sender.send(broken).await;
-            }
-            Err(_) => {
-                let broken = Err(io::ErrorKind::ConnectionAborted.into());
-                return sender.send(broken).await;
-            }
-        }
-    }
-}
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,6 +1,7 @@
 //! Helpers of the integration tests.
 
 pub mod balancer;
+pub mod metrics;
 pub mod poll;
 pub mod publish;
 
--- a/tests/tests/callers.rs
+++ b/tests/tests/callers.rs
@@ -1,14 +1,14 @@
 //! Many callers, and callers that leave.
 
 use async_std::task;
-use eyre::{Result, bail, ensure};
+use eyre::{Result, ensure};
 use fakes::http::{call, open, request};
 use fakes::set::{Set, Settings, chat_body};
 use futures_lite::AsyncReadExt;
 use http_types::{Method, Response};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tests::cases;
+use tests::{cases, metrics};
 
 const STREAMS: usize = 200;
 const TOKENS: u64 = 20;
@@ -118,7 +118,8 @@
         let answer = set.chat(0, "urgent", &format!("{number}"), 1).await?;
         ensure!(answer.status() == 200, "{}", answer.text());
     }
-    let opened = metric(&set, "connections_accepted_total").await?;
+    let name = "almondwell_side_connections_accepted_total";
+    let opened = metrics::sum(set.upstreams[0].admin, name).await?;
     ensure!(
         (1..=2).contains(&opened),
         "{opened} connections for 20 calls"
@@ -128,27 +129,12 @@
 
 /// Waits until the first side's metric `name` has `value`.
 async fn wait_for(set: &Set, name: &str, value: u64) -> Result<()> {
-    let start = Instant::now();
-    while start.elapsed() < Duration::from_secs(5) {
-        if metric(set, name).await? == value {
-            return Ok(());
-        }
-        task::sleep(Duration::from_millis(10)).await;
-    }
-    bail!("`{name}` did not become {value}")
-}
-
-async fn metric(set: &Set, name: &str) -> Result<u64> {
-    let admin = set.upstreams[0].admin;
-    let page = request(Method::Get, admin, "/metrics", &[], "");
-    let page = call(admin, page, Duration::from_secs(5)).await?;
-    let prefix = format!("almondwell_side_{name} ");
-    let text = page.text();
-    let value = text.lines().find_map(|line| line.strip_prefix(&prefix));
-    match value {
-        Some(value) => Ok(value.parse()?),
-        None => bail!("no metric `{name}`"),
-    }
+    metrics::wait_for(
+        set.upstreams[0].admin,
+        &format!("almondwell_side_{name}"),
+        value,
+    )
+    .await
 }
 
 fn post(address: std::net::SocketAddr, body: &str) -> http_types::Request {
--- a/tests/tests/main.rs
+++ b/tests/tests/main.rs
@@ -13,3 +13,4 @@
 mod raw;
 mod report;
 mod stop;
+mod strangers;
--- a/tests/tests/path.rs
+++ b/tests/tests/path.rs
@@ -10,6 +10,7 @@
 
 cases! {
     serves_a_whole_answer(Settings::default()) = serves_whole;
+    serves_a_long_plain_answer(Settings::default()) = serves_long;
     serves_a_plain_call(Settings::default()) = serves_plain;
     passes_the_first_chunk_before_the_last_is_made(slow()) = passes_first_chunk;
     cancels_a_stream_whose_caller_left(slow()) = cancels_stream;
@@ -38,6 +39,19 @@
     Ok(())
 }
 
+async fn serves_long(set: Set) -> Result<()> {
+    const LENGTH: usize = 3 << 20;
+    let body: String = ('a'..='z').cycle().take(LENGTH).collect();
+    let answer = set.order(0, "lookup", "key-1", &body).await?;
+    ensure!(answer.status() == 200, "{}", answer.status());
+    ensure!(answer.header("Almondwell-Verdict") == "ran");
+    ensure!(
+        answer.json()?["echo"] == body.as_str(),
+        "the answer was cut or changed"
+    );
+    Ok(())
+}
+
 async fn serves_plain(set: Set) -> Result<()> {
     let answer = set.order(0, "booking", "key-1", "fukuoka").await?;
     ensure!(answer.status() == 200, "{}", answer.text());
--- a/wire/src/connection.rs
+++ b/wire/src/connection.rs
@@ -1,17 +1,21 @@
 //! TCP connection that carries frames.
 
+use crate::memory::Hold;
 use crate::traffic::{RECEIVED, SENT};
 use crate::{Error, Seal};
 use almondwell_schema::Frame;
 use async_std::future::timeout;
 use async_std::io::prelude::{ReadExt, WriteExt};
 use async_std::net::TcpStream;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Longest frame in bytes, seal included.
 pub const MAX_FRAME: usize = 5 << 20;
 
+/// Bytes of a frame that are read at once.
+const STEP: usize = 64 << 10;
 const LENGTH: usize = size_of::<u32>();
 
 /// A TCP connection whose frames are prefixed with their length (`u32`, little endian).
@@ -92,12 +96,17 @@
     /// Grows with what arrives, so that a forged length reserves no memory.
     async fn read_sealed(&mut self, length: usize) -> Result<Vec<u8>, Error> {
         let mut sealed = Vec::new();
-        let read = (&mut self.tcp)
-            .take(length as u64)
-            .read_to_end(&mut sealed)
-            .await?;
-        if read < length {
-            return Err(Error::Io(std::io::ErrorKind::UnexpectedEof.into()));
+        let mut hold = Hold::default();
+        while sealed.len() < length {
+            let step = STEP.min(length - sealed.len());
+            hold.grow(step).map_err(io)?;
+            let read = (&mut self.tcp)
+                .take(step as u64)
+                .read_to_end(&mut sealed)
+                .await?;
+            if read < step {
+                return Err(io(ErrorKind::UnexpectedEof));
+            }
         }
         Ok(sealed)
     }
@@ -120,6 +129,10 @@
     }
 }
 
+fn io(kind: ErrorKind) -> Error {
+    Error::Io(kind.into())
+}
+
 fn late() -> Error {
-    Error::Io(std::io::ErrorKind::TimedOut.into())
+    io(ErrorKind::TimedOut)
 }
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod connection;
 mod error;
+mod memory;
 mod seal;
 mod socket;
 mod traffic;
