Say how long a failed call of the rolling replacement took

Change: failures name the turn and the time, stops their time.

Conclusion: the cause is not found yet.

--- a/tests/src/balancer.rs
+++ b/tests/src/balancer.rs
@@ -162,7 +162,9 @@
                 }
                 Err(Miss::Cut(error)) => {
                     self.connections.remove(&address);
-                    lock(&self.tally.failures).push(format!("{address}: {error:#}"));
+                    let time = start.elapsed();
+                    let failure = format!("{address}, turn {turn}, after {time:?}: {error:#}");
+                    lock(&self.tally.failures).push(failure);
                     turn += 1;
                 }
             }
--- a/tests/tests/stop.rs
+++ b/tests/tests/stop.rs
@@ -61,8 +61,10 @@
     task::sleep(Duration::from_secs(1)).await;
     for index in 0..set.upstreams.len() {
         let id = set.upstreams[index].id.clone();
+        let start = Instant::now();
         set.upstreams[index].side.signal("TERM")?;
         set.upstreams[index].side.wait(STOP_TIME)?;
+        println!("{id} stopped after {:?}", start.elapsed());
         set.replace_side(index, &id, Place::New).await?;
         task::sleep(Duration::from_millis(1500)).await;
     }
