Measure the ledger's calls to the store and bound its objects

Cause: nothing said what the ledger costs the object API. Working out the longest checkpoint found another fault: 8,192 keys with 512 KiB of answers would have made an object above the megabyte that the store takes, and the shard would have stopped there.

Ruled out: pacing checkpoints as if they were segments (a call would wait for two writes once in 16).

Change: `bench ledger` counts calls at the stand-in of the object API for rates of keyed calls and for stored work. The pace of segments leaves room for checkpoints. A line of a checkpoint no longer repeats key and run, kept answers are bounded to 384 KiB a shard, and a holder forgets before it writes a checkpoint. Work and answers too long for an object are refused by their encoded length.

--- a/almondwell/src/stored.rs
+++ b/almondwell/src/stored.rs
@@ -30,7 +30,7 @@
 
 /// Time after which work that could not be run is refused.
 const WORK_TIMEOUT: Duration = Duration::from_hours(24);
-/// Longest value of the object API, less what surrounds a body.
+/// Longest value of the object API, less what surrounds an answer.
 const MAX_WORK: usize = (1 << 20) - (4 << 10);
 
 fn open_key(id: WorkId) -> String {
--- a/almondwell/src/stored/accept.rs
+++ b/almondwell/src/stored/accept.rs
@@ -54,8 +54,9 @@
 
 async fn store(entry: &Entry, job: &Job) -> Result<WorkId, Refusal> {
     let work = work(job);
-    if work.body.len() > MAX_WORK {
-        let message = format!("work to be stored has a body of {MAX_WORK} bytes at most");
+    let value = encode(&work);
+    if value.len() > MAX_WORK {
+        let message = format!("work to be stored has {MAX_WORK} bytes at most");
         return Err(Refusal::invalid(
             StatusCode::PayloadTooLarge,
             "body_too_long",
@@ -66,7 +67,6 @@
         Some(key) => call_key(&job.service.name, &job.workspace_name, key),
         None => rand::random(),
     };
-    let value = encode(&work);
     let end = job.deadline.min(entry.clock.now() + STORE_TIMEOUT);
     let mut verdict = Verdict::NotRun;
     loop {
--- a/almondwell/src/stored/run.rs
+++ b/almondwell/src/stored/run.rs
@@ -70,7 +70,7 @@
 async fn attempt(entry: &Entry, found: &Found) -> Result<Kept, Refusal> {
     let job = job(entry, found)?;
     let kept = collect(dispatch(entry, &job).await?).await?;
-    if kept.body.len() > MAX_WORK {
+    if encode(&kept).len() > MAX_WORK {
         return Err(Refusal {
             code: "answer_too_long",
             ..Refusal::broken(Verdict::Ran, "the answer is too long to be stored")
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -10,6 +10,7 @@
 mod demo;
 mod fit;
 mod latency;
+mod ledger;
 mod load;
 mod probe;
 mod series;
@@ -22,7 +23,7 @@
 use eyre::{Result, bail};
 use lexopt::prelude::{Value, ValueExt};
 
-const MEASUREMENTS: &str = "demo, latency or slopes";
+const MEASUREMENTS: &str = "demo, latency, ledger or slopes";
 
 fn main() -> Result<()> {
     let mut parser = lexopt::Parser::from_env();
@@ -34,6 +35,7 @@
     match name.as_str() {
         "demo" => demo::run(),
         "latency" => latency::run(&mut parser),
+        "ledger" => ledger::run(&mut parser),
         "slopes" => slopes::run(&mut parser),
         other => bail!("unknown measurement `{other}`; expected {MEASUREMENTS}"),
     }
--- a/core/src/ledger/book.rs
+++ b/core/src/ledger/book.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// Bytes of all kept answers of a shard; with the entries, a checkpoint fits one object.
-const KEPT_BYTES: usize = 512 << 10;
+const KEPT_BYTES: usize = 384 << 10;
 
 /// The calls of one shard.
 #[derive(Clone, Debug)]
@@ -141,10 +141,11 @@
     pub(crate) fn restore(&mut self, checkpoint: Checkpoint, running: &BTreeSet<RunId>) {
         *self = Self::new(self.capacity);
         for line in checkpoint.lines {
+            let key = line.intent.key;
             let phase = opened(&line.intent, running);
             self.put(line.intent, phase);
-            if let Some(outcome) = line.outcome {
-                self.finish(&outcome);
+            if line.is_finished {
+                self.set(key, Phase::Finished(line.answer));
             }
         }
     }
@@ -164,15 +165,14 @@
 }
 
 fn line(entry: &Entry) -> Option<Line> {
-    let intent = entry.intent.clone();
-    let outcome = match &entry.phase {
+    let (is_finished, answer) = match &entry.phase {
         Phase::Intended => return None,
-        Phase::Finished(answer) => Some(Outcome {
-            key: intent.key,
-            run: intent.run,
-            answer: answer.clone(),
-        }),
-        Phase::Abandoned | Phase::Granted | Phase::Unknown => None,
+        Phase::Finished(answer) => (true, answer.clone()),
+        Phase::Abandoned | Phase::Granted | Phase::Unknown => (false, None),
     };
-    Some(Line { intent, outcome })
+    Some(Line {
+        intent: entry.intent.clone(),
+        is_finished,
+        answer,
+    })
 }
--- a/core/src/ledger/shard.rs
+++ b/core/src/ledger/shard.rs
@@ -246,7 +246,7 @@
             return flight.step();
         }
         if self.next > self.checkpoint.number + u64::from(self.options.slots) / 2 {
-            return self.write_checkpoint();
+            return self.write_checkpoint(now);
         }
         if self.pending.is_empty() {
             return Step::Idle;
@@ -267,10 +267,13 @@
         step
     }
 
-    fn write_checkpoint(&mut self) -> Step {
-        let value = match self.checkpoint_flight.take() {
-            Some(value) => value,
-            None => encode(&self.book.checkpoint(self.next - 1)),
+    fn write_checkpoint(&mut self, now: Duration) -> Step {
+        let value = if let Some(value) = self.checkpoint_flight.take() {
+            value
+        } else {
+            // What was read may be more than its holder still remembered.
+            self.book.make_room(now);
+            encode(&self.book.checkpoint(self.next - 1))
         };
         self.checkpoint_flight = Some(value.clone());
         Step::WriteCheckpoint {
--- a/core/tests/ledger.rs
+++ b/core/tests/ledger.rs
@@ -1,7 +1,7 @@
 //! The ledger's state machine under generated interleavings of holders, calls and store faults.
 
 use almondwell_core::ledger::{Call, Options, Reply, Shard, Standing, Step};
-use almondwell_schema::{CallKey, Kept, RunId, Version};
+use almondwell_schema::{CallKey, Header, Kept, RunId, Version};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::{BTreeMap, BTreeSet};
@@ -438,6 +438,61 @@
     assert_eq!(world.holders[0].len(), 2);
 }
 
+/// A full shard's checkpoint fits one object of the store.
+#[test]
+fn writes_no_object_above_a_megabyte() {
+    const BATCH: u64 = 256;
+    let mut world = World::new();
+    world.holders[0] = Shard::new(1, Options::default());
+    let mut longest = 0;
+    for batch in 0..32 {
+        let calls: Vec<_> = (0..BATCH)
+            .map(|index| long_call(batch * BATCH + index))
+            .collect();
+        for call in &calls {
+            world.holders[0].ask(world.now, *call);
+        }
+        world.drain(0);
+        for call in &calls {
+            world.holders[0].ask(world.now, *call);
+        }
+        world.drain(0);
+        for call in calls {
+            let standing = world.holders[0].ask(world.now, call);
+            assert_eq!(standing, Standing::Granted);
+            world.holders[0].finish(world.now, call.key, call.run, long_answer(call.run));
+        }
+        world.drain(0);
+        let lengths = world.objects.values().map(|(_, value)| value.len());
+        longest = longest.max(lengths.max().unwrap_or_default());
+    }
+    assert!(world.holders[0].len() > 8000);
+    assert!((800_000..1 << 20).contains(&longest), "{longest}");
+}
+
+/// A call whose numbers are as long as they get.
+fn long_call(number: u64) -> Call {
+    Call {
+        digest: u64::MAX,
+        key: u128::MAX - u128::from(number),
+        run: u64::MAX - number,
+    }
+}
+
+/// Answers from short ones with many headers to the longest that is kept.
+fn long_answer(run: u64) -> Kept {
+    let header = Header {
+        name: "a".into(),
+        value: "b".into(),
+    };
+    let body = if run.is_multiple_of(64) { 4000 } else { 24 };
+    Kept {
+        status: 200,
+        headers: vec![header; 4],
+        body: vec![0; body],
+    }
+}
+
 /// What holder 1 says about `key`.
 fn elsewhere(world: &mut World, key: CallKey) -> Standing {
     let call = Call {
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -516,7 +516,9 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Line {
     pub intent: Intent,
-    pub outcome: Option<Outcome>,
+    /// Whether it has run to its end.
+    pub is_finished: bool,
+    pub answer: Option<Kept>,
 }
 /// State of a ledger shard after a segment.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/side/src/ledger.rs
+++ b/side/src/ledger.rs
@@ -38,13 +38,15 @@
 impl Ledger {
     pub(crate) fn new(settings: &SideSettings, clock: Clock) -> Self {
         let pace = Duration::from_secs(SHARDS.into()) / settings.ledger_writes.max(1);
+        let options = Options::default();
         Self {
             clock: held::WallClock::new(clock),
             holder: rand::random(),
             objects: Objects::new(settings.platform),
             options: Options {
-                pace,
-                ..Options::default()
+                // Two checkpoints a round of the ring are part of the budget.
+                pace: pace + pace * 2 / u32::from(options.slots),
+                ..options
             },
             shards: Mutex::default(),
         }
