Free the place of a repeat that waits for its first call

Cause: a repeat held a place before the upstream while its first call ran; 32 repeats of one slow call kept all 16 places of a side, and other keys waited.

Ruled out: a limit of repeats for each key (the waiting caller would be refused though its answer comes).

Change: a repeat gives its place back; if its first call is given up, it is refused as not run and its entry asks for a new place at the same side.

--- a/almondwell/src/once.rs
+++ b/almondwell/src/once.rs
@@ -21,6 +21,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+const EXPIRED: &str = "place_expired";
 const FULL: &str = "ledger_full";
 const INTERRUPTED: &str = "interrupted";
 /// Code of a refusal for want of the object API.
@@ -59,7 +60,7 @@
         if is_final(&refusal) {
             return Err(worse(verdict, refusal));
         }
-        if refusal.verdict == Verdict::NotRun {
+        if refusal.verdict == Verdict::NotRun && refusal.code != EXPIRED {
             rank += 1;
         }
         verdict = verdict.max(refusal.verdict);
@@ -195,13 +196,14 @@
 /// The refusal that a side's fault stands for.
 pub(crate) fn refusal(fault: Fault) -> Refusal {
     let (status, code) = match fault.reason {
+        Reason::Expired => (StatusCode::ServiceUnavailable, EXPIRED),
         Reason::Full => (StatusCode::ServiceUnavailable, FULL),
         Reason::Interrupted => (StatusCode::Conflict, INTERRUPTED),
         Reason::KeyReused => (StatusCode::UnprocessableEntity, "key_reused"),
         Reason::NotKept => (StatusCode::Conflict, "answer_not_kept"),
         Reason::StoreDown => (StatusCode::ServiceUnavailable, STORE_DOWN),
         Reason::Quarantined => return quarantine::refused(fault.verdict),
-        Reason::Expired | Reason::Late | Reason::Leaving | Reason::Stalled | Reason::Unknown => {
+        Reason::Late | Reason::Leaving | Reason::Stalled | Reason::Unknown => {
             return Refusal::broken(fault.verdict, fault.detail);
         }
     };
--- a/side/src/ledger/call.rs
+++ b/side/src/ledger/call.rs
@@ -46,24 +46,52 @@
     let held = side.ledger.shard(&run.service, call.key);
     let attempt = Attempt::new(call, held);
     let wait = run.left.saturating_sub(MARGIN);
-    match timeout(wait, granted(&attempt)).await {
-        Ok(Ok(())) => run::start(side.clone(), attempt, run, place).await,
+    match timeout(wait, granted(side, &attempt, place)).await {
+        Ok(Ok(place)) => run::start(side.clone(), attempt, run, place).await,
         Ok(Err(frames)) => frames,
         Err(_) => late(&attempt),
     }
 }
 
-/// Returns when the call may run, or the frames that answer it otherwise.
-async fn granted(attempt: &Attempt) -> Result<(), Vec<Frame>> {
+/// Returns the place when the call may run, or the frames that answer it otherwise.
+async fn granted(side: &Side, attempt: &Attempt, place: Place) -> Result<Place, Vec<Frame>> {
     loop {
         let changed = attempt.held.changed.listen();
-        match settled(attempt.held.ask(attempt.call)) {
-            Some(result) => return result,
+        let standing = attempt.held.ask(attempt.call);
+        if standing == Standing::Running {
+            drop(place);
+            side.offer().await;
+            return Err(repeated(attempt).await);
+        }
+        match settled(standing) {
+            Some(Ok(())) => return Ok(place),
+            Some(Err(frames)) => return Err(frames),
             None => changed.await,
         }
     }
 }
 
+/// Waits, without a place, until the run of another call with the key has ended.
+async fn repeated(attempt: &Attempt) -> Vec<Frame> {
+    loop {
+        let changed = attempt.held.changed.listen();
+        let standing = attempt.held.ask(attempt.call);
+        if standing == Standing::Running {
+            changed.await;
+            continue;
+        }
+        if let Some(Err(frames)) = settled(standing) {
+            return frames;
+        }
+        let fault = fault(
+            Verdict::NotRun,
+            Reason::Expired,
+            "the first call with the key was given up; this one needs a place",
+        );
+        return vec![fault.into()];
+    }
+}
+
 /// What `standing` means for a call; `None` while it has to wait.
 fn settled(standing: Standing) -> Option<Result<(), Vec<Frame>>> {
     let fault = match standing {
--- a/tests/tests/ledger.rs
+++ b/tests/tests/ledger.rs
@@ -17,6 +17,7 @@
     repeats_get_the_first_answer(two_sides(5)) = repeats_get_first_answer;
     refuses_a_key_with_another_body(two_sides(5)) = refuses_other_body;
     runs_a_key_sent_through_two_entries_once(two_sides(100)) = runs_racing_key_once;
+    repeats_that_wait_hold_no_place(one_side(3000)) = repeats_hold_no_place;
     follows_a_run_whose_caller_left(two_sides(500)) = follows_run;
     never_reruns_a_key_whose_side_was_killed(two_sides(1500)) = side_killed;
     fences_a_holder_that_was_paused_and_replaced(two_sides(50)) = holder_paused;
@@ -38,6 +39,13 @@
     }
 }
 
+fn one_side(work: u64) -> Settings {
+    Settings {
+        plains: 1,
+        ..two_sides(work)
+    }
+}
+
 async fn repeats_get_first_answer(set: Set) -> Result<()> {
     let first = set.order(0, "booking", "key-1", "fukuoka").await?;
     ensure!(first.status() == 200, "{}", first.text());
@@ -74,6 +82,30 @@
     expect_runs(&set, "key-1", 1).await
 }
 
+/// More repeats than the side has places; another key is run before the first run ends.
+async fn repeats_hold_no_place(set: Set) -> Result<()> {
+    let set = Arc::new(set);
+    let first = spawn(&set, 0, "key-1");
+    wait_runs(&set, "key-1", 1).await?;
+    let repeats: Vec<_> = (0..32)
+        .map(|index| spawn(&set, index % 2, "key-1"))
+        .collect();
+    task::sleep(Duration::from_millis(500)).await;
+    let other = spawn(&set, 0, "key-2");
+    let start = Instant::now();
+    wait_runs(&set, "key-2", 1).await?;
+    ensure!(
+        start.elapsed() < Duration::from_secs(1),
+        "{:?}",
+        start.elapsed()
+    );
+    for call in repeats.into_iter().chain([first, other]) {
+        let answer = call.await?;
+        ensure!(answer.status() == 200, "{}", answer.text());
+    }
+    expect_runs(&set, "key-1", 1).await
+}
+
 async fn follows_run(set: Set) -> Result<()> {
     let call = Box::pin(set.order(0, "booking", "key-1", "fukuoka"));
     let left = timeout(Duration::from_millis(300), call).await;
