Count the copies of bodies against the memory that they may take

Ruled out: a lower limit on bodies, which callers need; counting at each copy, since a refusal after the body was read wastes what the caller sent.

Change: a body holds four times its length; the decoder reads the bytes in place and the buffer is made in one piece.

--- a/almondwell/src/inbound.rs
+++ b/almondwell/src/inbound.rs
@@ -12,15 +12,15 @@
 /// Writes are dropped: the decoder writes nothing but `100 Continue`, which the head's check has sent.
 #[derive(Clone)]
 pub(crate) struct Inbound {
-    bytes: Arc<[u8]>,
+    bytes: Arc<Vec<u8>>,
     read: usize,
     rest: Option<TcpStream>,
 }
 
 impl Inbound {
-    pub(crate) fn new(bytes: &[u8], rest: Option<TcpStream>) -> Self {
+    pub(crate) fn new(bytes: Vec<u8>, rest: Option<TcpStream>) -> Self {
         Self {
-            bytes: bytes.into(),
+            bytes: Arc::new(bytes),
             read: 0,
             rest,
         }
--- a/almondwell/src/receive.rs
+++ b/almondwell/src/receive.rs
@@ -12,6 +12,8 @@
 use http_types::{Request, StatusCode};
 use std::time::Duration;
 
+/// Copies of a body that are held at once while it is decoded and sent on.
+const COPIES: usize = 4;
 const PIECE: usize = 16 << 10;
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -37,7 +39,7 @@
         Ok(head) => head,
         Err(refusal) => return Ok(Err(refusal)),
     };
-    let Some(hold) = entry.memory.hold(head.body.limit()) else {
+    let Some(hold) = entry.memory.hold(head.body.limit() * COPIES) else {
         let message = "the bodies of other requests fill the memory";
         return Ok(Err(Refusal::busy(message, RETRY_AFTER)));
     };
@@ -82,9 +84,10 @@
     head: Head,
 ) -> io::Result<Result<Request, Refusal>> {
     let inbound = match head.body {
-        Body::Chunked => Inbound::new(&std::mem::take(bytes), Some(tcp.clone())),
+        Body::Chunked => Inbound::new(std::mem::take(bytes), Some(tcp.clone())),
         Body::Length(length) => {
             let end = head.length + length;
+            bytes.reserve_exact(end.saturating_sub(bytes.len()) + PIECE);
             while bytes.len() < end {
                 if read_more(tcp, bytes).await? == 0 {
                     return Err(io::ErrorKind::UnexpectedEof.into());
@@ -92,7 +95,7 @@
             }
             let rest = bytes.split_off(end);
             let request = std::mem::replace(bytes, rest);
-            Inbound::new(&request, None)
+            Inbound::new(request, None)
         }
     };
     let mut request = match decode(inbound).await {
--- a/daemon/src/check.rs
+++ b/daemon/src/check.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Longest body of a request; less memory than one takes would refuse it for ever.
-const MIN_BODY_MEMORY: u64 = 4 << 20;
+/// What a longest body takes with its copies; with less it would be refused for ever.
+const MIN_BODY_MEMORY: u64 = 16 << 20;
 const MIN_WINDOW: Duration = Duration::from_secs(1);
 /// Slow windows for each fast one; bounds the buckets that an entry keeps.
 const MAX_WINDOW_RATIO: u32 = 288;
--- a/fakes/src/process.rs
+++ b/fakes/src/process.rs
@@ -37,6 +37,17 @@
         self.child.id()
     }
 
+    /// Most memory that the process has held, in KiB.
+    pub fn peak_memory(&self) -> Result<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let value = line.and_then(|line| line.split_whitespace().next());
+        match value {
+            Some(value) => Ok(value.parse()?),
+            None => bail!("process {} shows no peak of its memory", self.id()),
+        }
+    }
+
     /// Kills the process at once.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -910,7 +910,7 @@
     pub head_timeout: Duration,
     /// Time in which a request's body has to arrive.
     pub body_timeout: Duration,
-    /// Bytes that bodies of requests may hold together.
+    /// Bytes that bodies of requests and their copies may hold together.
     pub body_memory: u64,
     /// Fast window of the service-level report.
     pub fast_window: Duration,
@@ -1036,7 +1036,7 @@
         Key {
             name: "body_memory",
             default: "134217728",
-            description: "Bytes that bodies of requests may hold together.",
+            description: "Bytes that bodies of requests and their copies may hold together.",
         },
         Key {
             name: "fast_window",
