Bound the entry's control port and name a taken admin port

Cause: the entry's control port, opened for peers, had no limit on connections, no time limits and counted no bad frame; a taken admin port was passed over in silence, so that a process ran without its pages.

Ruled out: a second copy of the side's limits; one gate serves both.

Change: gate and first-byte limit in the daemon package, used at both control ports; the pages' listener is bound at the start.

--- a/almondwell/src/admin.rs
+++ b/almondwell/src/admin.rs
@@ -5,6 +5,7 @@
 use almondwell_daemon::Counts;
 use almondwell_schema::{Role, Status};
 use almondwell_wire::Traffic;
+use async_std::net::TcpListener;
 use prometheus_client::registry::Registry;
 use std::sync::Arc;
 use tide::{Request, Response, StatusCode};
@@ -15,8 +16,7 @@
 }
 
 /// Serves the pages until the process ends.
-pub(crate) async fn serve(entry: Arc<Entry>) -> std::io::Result<()> {
-    let address = entry.settings.admin;
+pub(crate) async fn serve(entry: Arc<Entry>, listener: TcpListener) -> std::io::Result<()> {
     let mut registry = entry.metrics.registry();
     registry.register_collector(Box::new(Counts(Traffic::named)));
     let mut app = tide::with_state(Arc::new(Pages { entry, registry }));
@@ -25,7 +25,7 @@
     app.at("/ready").get(ready);
     app.at("/report").get(report);
     app.at("/status").get(status);
-    app.listen(address).await
+    app.listen(listener).await
 }
 
 async fn metrics(request: Request<Arc<Pages>>) -> tide::Result {
--- a/almondwell/src/metrics.rs
+++ b/almondwell/src/metrics.rs
@@ -65,6 +65,8 @@
     pub(crate) datagrams_rejected: Counter,
     pub(crate) datagrams_unsent: Counter,
     pub(crate) first_token: Times,
+    pub(crate) frames_rejected: Counter,
+    pub(crate) peers_refused: Counter,
     pub(crate) refusals: Family<Code, Counter>,
     pub(crate) requests: Family<Labels, Counter>,
     pub(crate) requests_rejected: Family<Code, Counter>,
@@ -83,6 +85,8 @@
             datagrams_rejected: Counter::default(),
             datagrams_unsent: Counter::default(),
             first_token: times(),
+            frames_rejected: Counter::default(),
+            peers_refused: Counter::default(),
             refusals: Family::default(),
             requests: Family::default(),
             requests_rejected: Family::default(),
@@ -148,6 +152,16 @@
                 "Datagrams not sent",
                 &self.datagrams_unsent,
             ),
+            (
+                "frames_rejected",
+                "Frames forged, malformed or unexpected",
+                &self.frames_rejected,
+            ),
+            (
+                "peers_refused",
+                "Connections of other processes refused or silent",
+                &self.peers_refused,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/almondwell/src/peers.rs
+++ b/almondwell/src/peers.rs
@@ -2,38 +2,72 @@
 
 use crate::entry::Entry;
 use almondwell_configuration as configuration;
+use almondwell_daemon::{Gate, speaks};
 use almondwell_schema::Frame;
-use almondwell_wire::Connection;
-use async_std::net::TcpListener;
+use almondwell_wire::{Connection, Error};
+use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use std::sync::Arc;
 use std::time::Duration;
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time in which the rest of a frame has to arrive.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(10);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Connections served at once; a peer fetches seldom and then closes.
+const MAX_CONNECTIONS: usize = 256;
 
 /// Answers fetches until the process ends.
 pub(crate) async fn accept(entry: Arc<Entry>, listener: TcpListener) {
+    let gate = Gate::new(MAX_CONNECTIONS);
     loop {
         match listener.accept().await {
-            Ok((tcp, _)) => {
-                let entry = entry.clone();
-                task::spawn(async move {
-                    if let Ok(connection) = Connection::over(tcp, entry.seal.clone()) {
-                        serve(&entry, connection).await;
-                    }
-                });
-            }
+            Ok((tcp, _)) => admit(&entry, &gate, tcp),
             Err(_) => task::sleep(ACCEPT_PAUSE).await,
         }
     }
 }
 
-async fn serve(entry: &Entry, mut connection: Connection) {
-    while let Ok(Some(frame)) = connection.read().await {
-        let Frame::Fetch(fetch) = frame else { return };
-        let answer = configuration::answer(entry, &fetch);
-        if connection.write(&answer).await.is_err() {
+fn admit(entry: &Arc<Entry>, gate: &Gate, tcp: TcpStream) {
+    let Some(pass) = gate.enter() else {
+        entry.metrics.peers_refused.inc();
+        return;
+    };
+    let entry = entry.clone();
+    task::spawn(async move {
+        let _pass = pass;
+        if !speaks(&tcp).await {
+            entry.metrics.peers_refused.inc();
             return;
         }
+        if let Ok(connection) = Connection::over(tcp, entry.seal.clone()) {
+            serve(&entry, connection).await;
+        }
+    });
+}
+
+async fn serve(entry: &Entry, mut connection: Connection) {
+    loop {
+        match connection.read_within(IDLE_TIMEOUT, FRAME_TIMEOUT).await {
+            Ok(Some(Frame::Fetch(fetch))) => {
+                let answer = configuration::answer(entry, &fetch);
+                if connection.write(&answer).await.is_err() {
+                    return;
+                }
+            }
+            Ok(Some(
+                Frame::Chunk(_)
+                | Frame::End(_)
+                | Frame::Fault(_)
+                | Frame::Head(_)
+                | Frame::Run(_)
+                | Frame::Snapshot(_),
+            ))
+            | Err(Error::Forged | Error::Malformed(_) | Error::TooLong(_)) => {
+                entry.metrics.frames_rejected.inc();
+                return;
+            }
+            Ok(None) | Err(Error::Io(_)) => return,
+        }
     }
 }
--- a/almondwell/src/serve.rs
+++ b/almondwell/src/serve.rs
@@ -38,6 +38,10 @@
     let peers = TcpListener::bind(control)
         .await
         .wrap_err_with(|| format!("cannot listen on control = {control}"))?;
+    let admin = settings.admin;
+    let pages = TcpListener::bind(admin)
+        .await
+        .wrap_err_with(|| format!("cannot listen on admin = {admin}"))?;
     let entry = Entry::bind(settings)
         .await
         .wrap_err_with(|| format!("cannot bind control = {control}"))?;
@@ -45,7 +49,7 @@
     spdlog::info!("entry started", kv: { id = entry.settings.id.as_ref(), callers = address.to_string() });
     spawn_loops(&entry);
     task::spawn(peers::accept(entry.clone(), peers));
-    task::spawn(admin::serve(entry.clone()));
+    task::spawn(admin::serve(entry.clone(), pages));
     stored::serve(&entry);
     let accept = task::spawn(listener::accept(entry.clone(), listener));
     stop.recv().await?;
--- a/side/src/admin.rs
+++ b/side/src/admin.rs
@@ -4,6 +4,7 @@
 use almondwell_daemon::Counts;
 use almondwell_schema::{Role, Status};
 use almondwell_wire::Traffic;
+use async_std::net::TcpListener;
 use prometheus_client::registry::Registry;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -15,8 +16,7 @@
 }
 
 /// Serves the pages until the process ends.
-pub(crate) async fn serve(side: Arc<Side>) -> std::io::Result<()> {
-    let address = side.settings.admin;
+pub(crate) async fn serve(side: Arc<Side>, listener: TcpListener) -> std::io::Result<()> {
     let mut registry = Registry::with_prefix("almondwell_side");
     side.metrics.register(&mut registry);
     registry.register_collector(Box::new(Counts(Traffic::named)));
@@ -25,7 +25,7 @@
     app.at("/metrics").get(metrics);
     app.at("/ready").get(|_| async { Ok("ready\n") });
     app.at("/status").get(status);
-    app.listen(address).await
+    app.listen(listener).await
 }
 
 async fn metrics(request: Request<Arc<Pages>>) -> tide::Result {
--- a/side/src/run.rs
+++ b/side/src/run.rs
@@ -22,6 +22,10 @@
     let listener = TcpListener::bind(address)
         .await
         .wrap_err_with(|| format!("cannot listen on control = {address}"))?;
+    let admin = settings.admin;
+    let pages = TcpListener::bind(admin)
+        .await
+        .wrap_err_with(|| format!("cannot listen on admin = {admin}"))?;
     let side = Side::bind(settings)
         .await
         .wrap_err_with(|| format!("cannot bind control = {address}"))?;
@@ -29,7 +33,7 @@
     spdlog::info!("side started", kv: { id = side.settings.id.as_ref(), control = address.to_string() });
     task::spawn(listener::accept(side.clone(), listener));
     spawn_loops(&side);
-    task::spawn(admin::serve(side.clone()));
+    task::spawn(admin::serve(side.clone(), pages));
     stop.recv().await?;
     leave(&side).await;
     Ok(())
--- a/tests/tests/cli.rs
+++ b/tests/tests/cli.rs
@@ -2,7 +2,8 @@
 
 use almondwell_schema::{EntrySettings, Key, Settings, SideSettings};
 use eyre::{Result, ensure};
-use fakes::process::path;
+use fakes::process::{free_address, path};
+use std::net::TcpListener;
 use std::process::Command;
 
 /// Names a case: a program, its arguments and the keys that its help lists.
@@ -21,6 +22,44 @@
     the_side_takes_the_short_flag: "almondwell-side" ["-h"] => SideSettings::KEYS;
 }
 
+/// Names a case: a program that finds one of its ports taken, and the key of that port.
+macro_rules! taken_ports {
+    ($($name:ident: $program:literal $arguments:expr => $key:literal;)*) => {
+        $(#[test]
+        fn $name() -> Result<()> {
+            names_taken_port($program, &$arguments, $key)
+        })*
+    };
+}
+
+taken_ports! {
+    the_entry_names_its_taken_admin_port: "almondwell" ["serve"] => "admin";
+    the_entry_names_its_taken_callers_port: "almondwell" ["serve"] => "callers";
+    the_entry_names_its_taken_control_port: "almondwell" ["serve"] => "control";
+    the_side_names_its_taken_admin_port: "almondwell-side" ["--pool", "drafting"] => "admin";
+    the_side_names_its_taken_control_port: "almondwell-side" ["--pool", "drafting"] => "control";
+}
+
+fn names_taken_port(program: &str, arguments: &[&str], key: &str) -> Result<()> {
+    let taken = TcpListener::bind("127.0.0.1:0")?;
+    let address = taken.local_addr()?;
+    let mut command = Command::new(path(program)?);
+    command.args(arguments);
+    for other in ["admin", "callers", "control"] {
+        if other == key {
+            command.args([format!("--{key}"), address.to_string()]);
+        } else if other != "callers" || program == "almondwell" {
+            command.args([format!("--{other}"), free_address()?.to_string()]);
+        }
+    }
+    let output = command.output()?;
+    let errors = String::from_utf8(output.stderr)?;
+    ensure!(!output.status.success());
+    let expected = format!("{program}: cannot listen on {key} = {address}: ");
+    ensure!(errors.starts_with(&expected), "{errors}");
+    Ok(())
+}
+
 fn lists_keys(program: &str, arguments: &[&str], keys: &[Key]) -> Result<()> {
     let output = Command::new(path(program)?).args(arguments).output()?;
     ensure!(output.status.success());
--- a/tests/tests/strangers.rs
+++ b/tests/tests/strangers.rs
@@ -21,7 +21,7 @@
 cases! {
     rejects_datagrams_of_strangers(Settings::default()) = rejects_datagrams;
     rejects_frames_of_strangers(Settings::default()) = rejects_frames;
-    closes_a_silent_connection_to_a_side(Settings::default()) = closes_silent;
+    closes_silent_connections(Settings::default()) = closes_silent;
     refuses_a_side_s_connections_over_the_limit(narrow_side()) = refuses_side_connections;
     survives_random_bytes(Settings::default()) = survives_random;
 }
@@ -69,7 +69,24 @@
 }
 
 async fn rejects_frames(set: Set) -> Result<()> {
-    let side = &set.upstreams[0];
+    let (entry, side) = (&set.entries[0], &set.upstreams[0]);
+    reject_all(
+        entry.control,
+        entry.admin,
+        "almondwell_frames_rejected_total",
+    )
+    .await?;
+    reject_all(
+        side.control,
+        side.admin,
+        "almondwell_side_frames_rejected_total",
+    )
+    .await?;
+    answers_well(&set).await
+}
+
+/// Sends bad frames, each on its own connection, and waits until `counter` has counted them.
+async fn reject_all(control: SocketAddr, admin: SocketAddr, counter: &str) -> Result<()> {
     let unexpected: Frame = End { length: 0 }.into();
     let sealed = sealed(&unexpected)?;
     let mut forged = sealed.clone();
@@ -83,25 +100,26 @@
         u32::MAX.to_le_bytes().to_vec(),
     ];
     for frame in &frames {
-        let mut tcp = TcpStream::connect(side.control).await?;
+        let mut tcp = TcpStream::connect(control).await?;
         tcp.write_all(frame).await?;
-        ensure!(is_closed(&mut tcp).await, "the side keeps a bad connection");
+        ensure!(is_closed(&mut tcp).await, "a bad connection stays open");
     }
-    let mut cut = TcpStream::connect(side.control).await?;
+    let mut cut = TcpStream::connect(control).await?;
     cut.write_all(&framed(&sealed)?[..8]).await?;
     drop(cut);
-    let name = "almondwell_side_frames_rejected_total";
-    wait_for(side.admin, name, frames.len() as u64).await?;
-    answers_well(&set).await
+    wait_for(admin, counter, frames.len() as u64).await
 }
 
 async fn closes_silent(set: Set) -> Result<()> {
-    let side = &set.upstreams[0];
-    let mut tcp = TcpStream::connect(side.control).await?;
-    ensure!(
-        is_closed(&mut tcp).await,
-        "the side keeps a silent connection"
-    );
+    let (entry, side) = (&set.entries[0], &set.upstreams[0]);
+    let mut silent = [
+        TcpStream::connect(entry.control).await?,
+        TcpStream::connect(side.control).await?,
+    ];
+    for tcp in &mut silent {
+        ensure!(is_closed(tcp).await, "a silent connection stays open");
+    }
+    wait_for(entry.admin, "almondwell_peers_refused_total", 1).await?;
     wait_for(side.admin, "almondwell_side_connections_refused_total", 1).await
 }
 
@@ -136,7 +154,13 @@
     let mut random = StdRng::seed_from_u64(seed);
     let udp = UdpSocket::bind("127.0.0.1:0").await?;
     let (entry, side) = (&set.entries[0], &set.upstreams[0]);
-    let tcp = [entry.callers, entry.admin, side.control, side.admin];
+    let tcp = [
+        entry.callers,
+        entry.control,
+        entry.admin,
+        side.control,
+        side.admin,
+    ];
     for _ in 0..ROUNDS {
         let bytes = noise(&mut random)?;
         if random.random_bool(0.3) {
