Draw faults at random while traffic flows, and check what must hold

Cause: single faults were proved one by one; nothing drew them from all kinds, together and at any moment, and compared what callers were told with what the upstreams had run. Ruled out: checks on almondwell's own counters, which could share a fault with it; the order desks' records outlive their kills, and answers are compared byte for byte with what the engine makes of the prompt. A proxy's client address takes TCP as well, since a process fetches the configuration from the sender of a datagram: before that the run stopped at "version 2 was not everywhere within 20s".

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -8,6 +8,7 @@
 mod capacity;
 mod counters;
 mod demo;
+mod faults;
 mod fit;
 mod latency;
 mod load;
@@ -22,7 +23,7 @@
 use eyre::{Result, bail};
 use lexopt::prelude::{Value, ValueExt};
 
-const MEASUREMENTS: &str = "demo, latency or slopes";
+const MEASUREMENTS: &str = "demo, faults, latency or slopes";
 
 fn main() -> Result<()> {
     let mut parser = lexopt::Parser::from_env();
@@ -33,6 +34,7 @@
     };
     match name.as_str() {
         "demo" => demo::run(),
+        "faults" => faults::run(&mut parser),
         "latency" => latency::run(&mut parser),
         "slopes" => slopes::run(&mut parser),
         other => bail!("unknown measurement `{other}`; expected {MEASUREMENTS}"),
--- a/fakes/src/engine.rs
+++ b/fakes/src/engine.rs
@@ -113,6 +113,7 @@
 }
 
 const DEFAULT_TOKENS: u64 = 16;
+const DONE: &str = "data: [DONE]\n\n";
 
 /// Serves until the process ends.
 pub async fn serve(settings: Settings) -> Result<()> {
@@ -181,14 +182,38 @@
         engine.pause(engine.settings.token).await;
     }
     run.finish();
-    Ok(json(&json!({
+    Ok(json(&whole(&prompt.model, &words)))
+}
+
+/// The whole answer to the chat completion `body`, as bytes.
+pub fn answer(body: &[u8]) -> Result<Vec<u8>> {
+    let prompt: Prompt = serde_json::from_slice(body)?;
+    let words = text(&prompt);
+    if !prompt.stream {
+        return Ok(whole(&prompt.model, &words).to_string().into_bytes());
+    }
+    let events: String = words
+        .iter()
+        .map(|word| event(&prompt.model, word))
+        .collect();
+    Ok(format!("{events}{DONE}").into_bytes())
+}
+
+fn whole(model: &str, words: &[String]) -> Value {
+    json!({
         "id": "chatcmpl",
         "object": "chat.completion",
-        "model": prompt.model,
+        "model": model,
         "choices": [{"index": 0, "finish_reason": "stop",
             "message": {"role": "assistant", "content": words.concat()}}],
         "usage": {"completion_tokens": words.len()},
-    })))
+    })
+}
+
+fn event(model: &str, word: &str) -> String {
+    let event = json!({"object": "chat.completion.chunk", "model": model,
+        "choices": [{"index": 0, "delta": {"content": word}}]});
+    format!("data: {event}\n\n")
 }
 
 /// Tokens that depend on nothing but the prompt, so that answers can be compared.
@@ -215,13 +240,9 @@
     engine.pause(engine.settings.prefill).await;
     for word in words {
         engine.pause(engine.settings.token).await;
-        let event = json!({"object": "chat.completion.chunk", "model": model,
-            "choices": [{"index": 0, "delta": {"content": word}}]});
-        sender
-            .send(Ok(format!("data: {event}\n\n").into_bytes()))
-            .await?;
+        sender.send(Ok(event(model, word).into_bytes())).await?;
     }
-    sender.send(Ok(b"data: [DONE]\n\n".to_vec())).await?;
+    sender.send(Ok(DONE.into())).await?;
     run.finish();
     sender.send(Ok(Vec::new())).await?;
     Ok(())
--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod replacement;
 pub mod server;
 pub mod set;
+pub mod trial;
--- a/fakes/src/proxy.rs
+++ b/fakes/src/proxy.rs
@@ -52,6 +52,16 @@
     pub(crate) forward: Arc<Way>,
 }
 
+impl Ways {
+    /// The same ways, as the target sees them.
+    fn reversed(&self) -> Self {
+        Self {
+            backward: self.forward.clone(),
+            forward: self.backward.clone(),
+        }
+    }
+}
+
 /// A running proxy; it ends when dropped.
 pub struct Proxy {
     address: SocketAddr,
--- a/fakes/src/proxy/udp.rs
+++ b/fakes/src/proxy/udp.rs
@@ -1,8 +1,9 @@
 //! Datagrams through a proxy: each client has its own socket towards the target.
 
-use super::Ways;
 use super::way::Way;
-use async_std::net::UdpSocket;
+use super::{Ways, tcp};
+use crate::process::free_address;
+use async_std::net::{TcpListener, UdpSocket};
 use async_std::task;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -41,7 +42,11 @@
     client: SocketAddr,
     ways: &Arc<Ways>,
 ) -> std::io::Result<Arc<UdpSocket>> {
-    let session = Arc::new(UdpSocket::bind("127.0.0.1:0").await?);
+    let address = free_address().map_err(std::io::Error::other)?;
+    let session = Arc::new(UdpSocket::bind(address).await?);
+    // The target knows the client by this address and may connect to it as well.
+    let listener = TcpListener::bind(address).await?;
+    task::spawn(tcp::accept(listener, client, Arc::new(ways.reversed())));
     task::spawn(answer(
         session.clone(),
         socket.clone(),
--- /dev/null
+++ b/fakes/src/trial/versions.rs
@@ -0,0 +1,104 @@
+//! Versions of the configuration that instances show.
+
+use crate::http;
+use crate::set::Set;
+use async_std::task;
+use eyre::{Result, bail};
+use http_types::Method;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+const READ_PERIOD: Duration = Duration::from_millis(100);
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time within which a version must be everywhere; the run goes on to measure a little beyond it.
+const SPREAD_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Versions that instances were seen to have in force.
+pub(super) struct Versions {
+    admins: Vec<SocketAddr>,
+    highest: Mutex<BTreeMap<SocketAddr, u64>>,
+    reverted: Mutex<Vec<String>>,
+}
+
+impl Versions {
+    pub(super) fn of(set: &Set) -> Self {
+        let entries = set.entries.iter().map(|entry| entry.admin);
+        let sides = set.upstreams.iter().map(|upstream| upstream.admin);
+        Self {
+            admins: entries.chain(sides).collect(),
+            highest: Mutex::default(),
+            reverted: Mutex::default(),
+        }
+    }
+
+    /// Reads the versions until cancelled. An instance that has just started has none, which is 0.
+    pub(super) async fn watch(self: Arc<Self>) {
+        loop {
+            for admin in &self.admins {
+                if let Some(version) = read(*admin).await {
+                    self.note(*admin, version);
+                }
+            }
+            task::sleep(READ_PERIOD).await;
+        }
+    }
+
+    fn note(&self, admin: SocketAddr, version: u64) {
+        let mut highest = self.highest.lock().unwrap_or_else(PoisonError::into_inner);
+        let highest = highest.entry(admin).or_default();
+        if version != 0 && version < *highest {
+            let line = format!("{admin} went from version {highest} to {version}");
+            self.reverted
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(line);
+        }
+        *highest = version.max(*highest);
+    }
+
+    pub(super) fn reverted(&self) -> Vec<String> {
+        self.reverted
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Publishes once more and measures how long until all instances have that version or a later one.
+    pub(super) async fn spread(&self, set: &Set) -> Result<Duration> {
+        set.publish(&set.settings.services).await?;
+        let start = Instant::now();
+        let target = published(set).await?;
+        while start.elapsed() < SPREAD_TIMEOUT {
+            let mut is_everywhere = true;
+            for admin in &self.admins {
+                is_everywhere &= read(*admin).await.is_some_and(|version| version >= target);
+            }
+            if is_everywhere {
+                return Ok(start.elapsed());
+            }
+            task::sleep(Duration::from_millis(20)).await;
+        }
+        let mut seen = Vec::new();
+        for admin in &self.admins {
+            seen.push(read(*admin).await);
+        }
+        bail!("version {target} was not everywhere within {SPREAD_TIMEOUT:?}: {seen:?}")
+    }
+}
+
+async fn published(set: &Set) -> Result<u64> {
+    let path = "/objects/config/current";
+    let request = http::request(Method::Get, set.platform, path, &[], "");
+    let answer = http::call(set.platform, request, Duration::from_secs(5)).await?;
+    Ok(answer.header("ETag").trim_matches('"').parse()?)
+}
+
+async fn read(admin: SocketAddr) -> Option<u64> {
+    let request = http::request(Method::Get, admin, "/status", &[], "");
+    let answer = http::call(admin, request, READ_TIMEOUT).await.ok()?;
+    let status: Value = answer.json().ok()?;
+    status["version"].as_u64()
+}
--- a/tests/tests/main.rs
+++ b/tests/tests/main.rs
@@ -11,6 +11,7 @@
 mod outage;
 mod path;
 mod quarantine;
+mod random;
 mod raw;
 mod report;
 mod stop;
