--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -8,6 +8,7 @@
 mod capacity;
 mod counters;
 mod demo;
+mod faults;
 mod fit;
 mod latency;
 mod ledger;
@@ -23,7 +24,7 @@
 use eyre::{Result, bail};
 use lexopt::prelude::{Value, ValueExt};
 
-const MEASUREMENTS: &str = "demo, latency, ledger or slopes";
+const MEASUREMENTS: &str = "demo, faults, latency, ledger or slopes";
 
 fn main() -> Result<()> {
     let mut parser = lexopt::Parser::from_env();
@@ -34,6 +35,7 @@
     };
     match name.as_str() {
         "demo" => demo::run(),
+        "faults" => faults::run(&mut parser),
         "latency" => latency::run(&mut parser),
         "ledger" => ledger::run(&mut parser),
         "slopes" => slopes::run(&mut parser),
