Decide order, admission and routing in the library and measure them

Cause: the queue was first come first served within a tier, admitted up to a fixed count and scanned all that waited on each call; entries sampled sides with no regard to region, wait or prefix, slow upstreams went on granting, and retries had no budget.

Change: strict tiers, weighted fairness between workspaces and classes within a tier, one place set aside for the tiers below the highest, reservations that have missed their target after timely ones of their tier; refusal by estimated wait with a truthful Retry-After; ordered indexes for deadlines and offers; widening over all sides before a refusal, spill to the other region under a byte budget, a home side per prefix; pace of the streams limits the places of a slow upstream; retry budget per class. `bench policy` runs the same types over fakes of engines, with baselines, ablations and a bound, on the same traces.

The queue's shedding let a full backlog of the top tier shed all that lower tiers had waiting; a generated load found it. Lower tiers now keep eight reservations each, and never count against a higher one.

Prompts under 256 bytes no longer count as a shared prefix: equal short prompts had all gone to one engine while another stood idle, which two membership tests saw.

--- a/almondwell/src/chat.rs
+++ b/almondwell/src/chat.rs
@@ -11,7 +11,8 @@
 
 pub(crate) const PATH: &str = "/v1/chat/completions";
 
-/// Bytes of a prompt that engines are likely to have cached together.
+/// Bytes of a prompt that engines are likely to have cached together; shorter prompts save too
+/// little to be sent to the same engine.
 const PREFIX: usize = 256;
 
 /// The job that a chat completion asks for.
@@ -38,7 +39,7 @@
         ));
     };
     let messages = prompt["messages"].to_string();
-    let prefix = hash(&messages.as_bytes()[..messages.len().min(PREFIX)]);
+    let prefix = messages.as_bytes().get(..PREFIX).map_or(0, hash);
     let class = headers::value(request, headers::CLASS).unwrap_or(&service.class);
     let job = job::new(entry, request, service, class, id, body)?;
     Ok(Job {
--- /dev/null
+++ b/almondwell/src/directories.rs
@@ -0,0 +1,96 @@
+//! Sides by pool and region, as routing reads them.
+
+use crate::members::Members;
+use crate::sides::Sides;
+use almondwell_core::{Directory, Site, Spill};
+use almondwell_schema::{EntrySettings, Instance, Role};
+use arc_swap::ArcSwap;
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Sides by pool and region, made anew when the membership or the instance list changes.
+pub(crate) struct Directories {
+    link: u64,
+    region: Box<str>,
+    spill: Mutex<Spill>,
+    view: ArcSwap<View>,
+}
+
+#[derive(Default)]
+struct View {
+    instances: Arc<Vec<Instance>>,
+    pools: BTreeMap<Box<str>, Arc<Directory<SocketAddr>>>,
+    sides: Arc<Sides>,
+}
+
+impl Directories {
+    pub(crate) fn new(settings: &EntrySettings) -> Self {
+        Self {
+            link: settings.link,
+            region: settings.region.clone(),
+            spill: Mutex::new(Spill::new(settings.link)),
+            view: ArcSwap::default(),
+        }
+    }
+
+    /// Sides before the upstreams of `pool`.
+    pub(crate) fn pool(&self, members: &Members, pool: &str) -> Arc<Directory<SocketAddr>> {
+        let sides = members.sides();
+        let instances = members.instances();
+        let view = self.view.load();
+        let is_current =
+            Arc::ptr_eq(&view.sides, &sides) && Arc::ptr_eq(&view.instances, &instances);
+        if is_current {
+            return view.pools.get(pool).cloned().unwrap_or_default();
+        }
+        let view = self.build(sides.clone(), instances);
+        let directory = view.pools.get(pool).cloned().unwrap_or_default();
+        self.view.store(Arc::new(view));
+        directory
+    }
+
+    /// This entry's byte budget for the link between regions, locked; hold it across no await.
+    pub(crate) fn spill(&self) -> MutexGuard<'_, Spill> {
+        self.spill.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn build(&self, sides: Arc<Sides>, instances: Arc<Vec<Instance>>) -> View {
+        let peers = instances
+            .iter()
+            .filter(|instance| instance.role == Role::Entry && instance.region == self.region)
+            .count();
+        self.spill().set_rate(self.link / peers.max(1) as u64);
+        let pools = sides
+            .pools()
+            .map(|(pool, instances)| (pool.into(), Arc::new(self.directory(instances))))
+            .collect();
+        View {
+            instances,
+            pools,
+            sides,
+        }
+    }
+
+    fn directory(&self, instances: &[Instance]) -> Directory<SocketAddr> {
+        let sites: Vec<_> = instances
+            .iter()
+            .map(|instance| Site {
+                is_near: instance.region == self.region,
+                side: instance.address,
+            })
+            .collect();
+        Directory::new(&sites, point)
+    }
+}
+
+/// Number of an address, the same at all entries.
+fn point(address: SocketAddr) -> u64 {
+    let port = u64::from(address.port());
+    match address.ip() {
+        IpAddr::V4(ip) => u64::from(ip.to_bits()) << u16::BITS | port,
+        IpAddr::V6(ip) => ip.segments().into_iter().fold(port, |point, segment| {
+            point.rotate_left(7) ^ u64::from(segment)
+        }),
+    }
+}
--- a/almondwell/src/entry.rs
+++ b/almondwell/src/entry.rs
@@ -1,7 +1,9 @@
 //! State that the tasks of an entry share.
 
+use crate::budgets::Budgets;
 use crate::burn::Burn;
 use crate::catalog::Catalog;
+use crate::directories::Directories;
 use crate::drain::Drain;
 use crate::members::Members;
 use crate::memory::Memory;
@@ -22,6 +24,7 @@
 
 /// State that the tasks of an entry share.
 pub(crate) struct Entry {
+    pub(crate) budgets: Budgets,
     pub(crate) burn: Arc<Burn>,
     pub(crate) catalog: ArcSwap<Catalog>,
     pub(crate) clock: Clock,
@@ -30,6 +33,7 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) objects: Objects,
     pub(crate) pool: Arc<Pool>,
+    pub(crate) directories: Directories,
     pub(crate) drain: Drain,
     /// Number of this run, part of its request ids.
     pub(crate) epoch: Epoch,
@@ -51,6 +55,7 @@
         let epoch = rand::random_range(1..=Epoch::MAX);
         let stored_name = format!("{}.{epoch:016x}", settings.id);
         Ok(Self {
+            budgets: Budgets::default(),
             burn: Arc::new(Burn::new(&settings)),
             catalog: ArcSwap::default(),
             clock: Clock::start(),
@@ -59,6 +64,7 @@
             metrics: Arc::default(),
             objects: Objects::new(settings.platform),
             pool: Arc::default(),
+            directories: Directories::new(&settings),
             drain: Drain::default(),
             epoch,
             members: Members::new(&settings.id),
--- a/almondwell/src/once.rs
+++ b/almondwell/src/once.rs
@@ -6,11 +6,11 @@
 
 use crate::answer::Answer;
 use crate::call;
-use crate::dispatch::reservation;
 use crate::entry::Entry;
 use crate::job::{Job, hash};
 use crate::quarantine;
 use crate::refusal::Refusal;
+use crate::reserve::reservation;
 use crate::sides::Ranked;
 use almondwell_core::ledger::{call_key, shard_of};
 use almondwell_schema::{Datagram, Fault, Reason, Ticket, Verdict, Withdraw};
@@ -142,7 +142,7 @@
             // A repeated reservation keeps its rank; a side that has died does not answer it.
             let left = self::left(entry, job)?;
             entry.members.asked(side, entry.clock.now());
-            entry.send(reservation(entry, job, left).into(), side).await;
+            entry.send(reservation(entry, job, 1).into(), side).await;
             is_queued = false;
             limit = SILENCE.min(left);
             continue;
--- a/almondwell/src/sides.rs
+++ b/almondwell/src/sides.rs
@@ -62,9 +62,11 @@
         self.pools.is_empty()
     }
 
-    /// Sides before the upstreams of `pool`.
-    pub(crate) fn pool(&self, pool: &str) -> &[Instance] {
-        self.pools.get(pool).map_or(&[], Vec::as_slice)
+    /// Sides by the pool of their upstreams.
+    pub(crate) fn pools(&self) -> impl Iterator<Item = (&str, &[Instance])> {
+        self.pools
+            .iter()
+            .map(|(pool, instances)| (&**pool, instances.as_slice()))
     }
 
     /// All sides before the upstreams of `pool` that are not leaving; each entry sees the same ones.
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -13,6 +13,7 @@
 mod latency;
 mod ledger;
 mod load;
+mod policy;
 mod probe;
 mod series;
 mod slopes;
@@ -24,7 +25,7 @@
 use eyre::{Result, bail};
 use lexopt::prelude::{Value, ValueExt};
 
-const MEASUREMENTS: &str = "demo, faults, latency, ledger or slopes";
+const MEASUREMENTS: &str = "demo, faults, latency, ledger, policy or slopes";
 
 fn main() -> Result<()> {
     let mut parser = lexopt::Parser::from_env();
@@ -38,6 +39,7 @@
         "faults" => faults::run(&mut parser),
         "latency" => latency::run(&mut parser),
         "ledger" => ledger::run(&mut parser),
+        "policy" => policy::run(&mut parser),
         "slopes" => slopes::run(&mut parser),
         other => bail!("unknown measurement `{other}`; expected {MEASUREMENTS}"),
     }
--- a/bench/src/slopes_load.rs
+++ b/bench/src/slopes_load.rs
@@ -143,6 +143,7 @@
         tier: 1,
         priority: 0,
         share: 1,
+        copies: 3,
         left: Duration::from_mins(10),
         target: Duration::from_secs(2),
         prefix: 1,
--- /dev/null
+++ b/core/tests/admission.rs
@@ -0,0 +1,122 @@
+//! Admission by estimated wait.
+
+mod support;
+
+use almondwell_core::{Answer, Queue, Settings};
+use almondwell_schema::Reason;
+use std::time::Duration;
+use support::{reservation, start_all};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+cases! {
+    refuses_what_cannot_meet_its_target = check_refusal();
+    says_when_to_come_back = check_retry();
+    admits_a_light_workspace_beside_a_heavy_one = check_fairness();
+    counts_nothing_of_lower_tiers = check_lower_tiers();
+    admits_a_starved_class = check_starved();
+    recovers_as_soon_as_the_backlog_is_gone = check_recovery();
+}
+
+/// A queue before one upstream of eight places whose requests take a second each, all busy.
+fn busy() -> Queue<()> {
+    let mut queue = Queue::new(Settings {
+        places: 8,
+        ..Settings::default()
+    });
+    for request in 1..=8 {
+        let tier = u8::from(request == 8);
+        queue.reserve(Duration::ZERO, reservation(request, tier, "retail"));
+    }
+    for offer in start_all(&mut queue, Duration::ZERO) {
+        queue.finish(SECOND, offer.ticket);
+    }
+    for request in 11..=18 {
+        let tier = u8::from(request == 18);
+        queue.reserve(SECOND, reservation(request, tier, "retail"));
+    }
+    assert_eq!(start_all(&mut queue, SECOND).len(), 8);
+    queue
+}
+
+/// Reservations of the top tier that are taken before the first refusal.
+fn admitted(queue: &mut Queue<()>, workspace: &str, first: u128) -> u32 {
+    let mut count = 0;
+    for request in first..first + 1000 {
+        match queue.reserve(SECOND, reservation(request, 0, workspace)) {
+            Answer::Queued(_) => count += 1,
+            Answer::Offered(_) | Answer::Refused(..) => return count,
+        }
+    }
+    count
+}
+
+/// Seven ordered places, a second each, and ten seconds to the target: seventy fit.
+fn check_refusal() {
+    let count = admitted(&mut busy(), "retail", 100);
+    assert!((60..=80).contains(&count), "{count}");
+}
+
+fn check_retry() {
+    let mut queue = busy();
+    admitted(&mut queue, "retail", 100);
+    let mut late = reservation(5000, 0, "retail");
+    late.target = SECOND;
+    match queue.reserve(SECOND, late) {
+        Answer::Refused(Reason::Late, retry) => {
+            assert!((8 * SECOND..=11 * SECOND).contains(&retry), "{retry:?}");
+        }
+        answer => panic!("{answer:?}"),
+    }
+}
+
+fn check_fairness() {
+    let mut queue = busy();
+    admitted(&mut queue, "large", 100);
+    let answer = queue.reserve(SECOND, reservation(5000, 0, "small"));
+    assert!(
+        matches!(answer, Answer::Queued(wait) if wait < SECOND),
+        "{answer:?}"
+    );
+}
+
+fn check_lower_tiers() {
+    let mut queue = busy();
+    for request in 100..150 {
+        queue.reserve(SECOND, reservation(request, 1, "retail"));
+    }
+    let answer = queue.reserve(SECOND, reservation(5000, 0, "retail"));
+    assert!(
+        matches!(answer, Answer::Queued(wait) if wait < SECOND),
+        "{answer:?}"
+    );
+}
+
+fn check_starved() {
+    let mut queue = busy();
+    admitted(&mut queue, "retail", 100);
+    let mut first = reservation(5000, 3, "retail");
+    first.target = Duration::ZERO;
+    let answer = queue.reserve(21 * SECOND, first);
+    assert!(matches!(answer, Answer::Queued(_)), "{answer:?}");
+    let mut second = reservation(5001, 3, "retail");
+    second.target = Duration::ZERO;
+    let answer = queue.reserve(21 * SECOND, second);
+    assert!(
+        matches!(answer, Answer::Refused(Reason::Late, _)),
+        "{answer:?}"
+    );
+}
+
+fn check_recovery() {
+    let mut queue = busy();
+    let count = admitted(&mut queue, "retail", 100);
+    for request in 100..100 + u128::from(count) {
+        queue.withdraw(request);
+    }
+    let answer = queue.reserve(SECOND, reservation(5000, 0, "retail"));
+    assert!(
+        matches!(answer, Answer::Queued(wait) if wait < SECOND),
+        "{answer:?}"
+    );
+}
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -148,10 +148,12 @@
     pub workspace: Box<str>,
     /// Tier; 0 is the highest.
     pub tier: u8,
-    /// Order within a tier; higher goes first.
+    /// Each step doubles the weight within the tier.
     pub priority: u8,
     /// Weight of the workspace among its peers.
     pub share: u32,
+    /// Sides likely to hold a reservation of the same request.
+    pub copies: u8,
     /// Time left until the deadline.
     pub left: Duration,
     /// Time left until the first token is due.
@@ -601,7 +603,7 @@
 pub struct Class {
     /// Tier from 0, the highest, to 3.
     pub tier: u8,
-    /// Order within the tier; higher goes first.
+    /// Weight within the tier; each step doubles it.
     pub priority: u8,
     /// Target for the first token or for a plain answer.
     pub first_token: Duration,
@@ -637,7 +639,7 @@
         Key {
             name: "priority",
             default: "0",
-            description: "Order within the tier; higher goes first.",
+            description: "Weight within the tier; each step doubles it.",
         },
         Key {
             name: "first_token",
@@ -898,6 +900,8 @@
     pub secret: Box<str>,
     /// Control addresses asked for the configuration while the platform is down, separated by commas.
     pub peers: Vec<SocketAddr>,
+    /// Bytes per second of the link between regions, shared by the entries of a region.
+    pub link: u64,
     /// Sides asked for each request.
     pub samples: u8,
     /// Time for which the result of stored work is kept.
@@ -937,6 +941,7 @@
             platform: crate::default_of("127.0.0.1:8000"),
             secret: crate::default_of(""),
             peers: crate::default_of(""),
+            link: crate::default_of("3750000"),
             samples: crate::default_of("3"),
             work_kept: crate::default_of("24h"),
             work_period: crate::default_of("3s"),
@@ -1000,6 +1005,11 @@
             default: "",
             description: "Control addresses asked for the configuration while the platform is down, separated by commas.",
         },
+        Key {
+            name: "link",
+            default: "3750000",
+            description: "Bytes per second of the link between regions, shared by the entries of a region.",
+        },
         Key {
             name: "samples",
             default: "3",
@@ -1104,6 +1114,10 @@
                 self.peers = <Vec<SocketAddr> as Setting>::read(value)
                     .ok_or(Unset::Expected(<Vec<SocketAddr> as Setting>::EXPECTED))?;
             }
+            "link" => {
+                self.link = <u64 as Setting>::read(value)
+                    .ok_or(Unset::Expected(<u64 as Setting>::EXPECTED))?;
+            }
             "samples" => {
                 self.samples = <u8 as Setting>::read(value)
                     .ok_or(Unset::Expected(<u8 as Setting>::EXPECTED))?;
--- a/side/src/call.rs
+++ b/side/src/call.rs
@@ -89,7 +89,8 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.side.queue().finish(self.ticket);
+        let now = self.side.clock.now();
+        self.side.queue().finish(now, self.ticket);
     }
 }
 
--- a/side/src/control.rs
+++ b/side/src/control.rs
@@ -9,6 +9,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// When an upstream that is down may be tried again.
+const STALLED_RETRY: Duration = Duration::from_secs(1);
+/// When a reservation that gave way to a higher one may be tried again.
+const SHED_RETRY: Duration = Duration::from_secs(1);
 const EXPIRY_PERIOD: Duration = Duration::from_millis(50);
 
 /// Answers datagrams until the process ends.
@@ -55,42 +59,67 @@
 async fn reserve_place(side: &Side, reserve: Reserve, from: SocketAddr) {
     let request = reserve.request;
     if !side.health.is_up() {
-        return refuse(side, request, Reason::Stalled, from).await;
+        return refuse(side, request, Reason::Stalled, STALLED_RETRY, from).await;
     }
-    let reservation = Reservation {
+    let reservation = reservation(reserve, from);
+    let answer = side.queue().reserve(side.clock.now(), reservation);
+    let shed = side.queue().take_shed();
+    for reservation in shed {
+        let retry = SHED_RETRY;
+        refuse(
+            side,
+            reservation.request,
+            Reason::Full,
+            retry,
+            reservation.from,
+        )
+        .await;
+    }
+    let is_offered = side.offer_to(request).await;
+    match answer {
+        Answer::Offered(offer) => side.send_grant(offer).await,
+        Answer::Queued(_) if is_offered => {}
+        Answer::Queued(wait) => queued(side, request, wait, from).await,
+        Answer::Refused(reason, retry) => refuse(side, request, reason, retry, from).await,
+    }
+}
+
+fn reservation(reserve: Reserve, from: SocketAddr) -> Reservation<SocketAddr> {
+    Reservation {
+        class: format!("{}/{}", reserve.service, reserve.class).into(),
+        copies: reserve.copies,
         from,
         left: reserve.left,
         priority: reserve.priority,
-        request,
+        request: reserve.request,
+        share: reserve.share,
+        target: reserve.target,
         tier: reserve.tier,
-    };
-    let answer = side.queue().reserve(side.clock.now(), reservation);
-    match answer {
-        Answer::Offered(offer) => side.send_grant(offer).await,
-        Answer::Queued(_) => {
-            let wait = Duration::ZERO;
-            let epoch = side.epoch;
-            side.send(
-                Queued {
-                    request,
-                    wait,
-                    epoch,
-                }
-                .into(),
-                from,
-            )
-            .await;
-        }
-        Answer::Refused(reason) => refuse(side, request, reason, from).await,
+        workspace: reserve.workspace,
     }
 }
 
+async fn queued(side: &Side, request: u128, wait: Duration, from: SocketAddr) {
+    let queued = Queued {
+        request,
+        wait,
+        epoch: side.epoch,
+    };
+    side.send(queued.into(), from).await;
+}
+
 /// Tells `from` that `request` was refused.
-pub(crate) async fn refuse(side: &Side, request: u128, reason: Reason, from: SocketAddr) {
+pub(crate) async fn refuse(
+    side: &Side,
+    request: u128,
+    reason: Reason,
+    retry: Duration,
+    from: SocketAddr,
+) {
     let refuse = Refuse {
         request,
         reason,
-        retry: Duration::from_secs(1),
+        retry,
         epoch: side.epoch,
     };
     side.send(refuse.into(), from).await;
--- a/side/src/side.rs
+++ b/side/src/side.rs
@@ -10,7 +10,7 @@
 use almondwell_core::{Offer, Queue};
 use almondwell_daemon::Clock;
 use almondwell_platform::Objects;
-use almondwell_schema::{Datagram, Epoch, Grant, SideSettings};
+use almondwell_schema::{Datagram, Epoch, Grant, RequestId, SideSettings};
 use almondwell_wire::{Seal, Socket};
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
@@ -40,7 +40,11 @@
     pub(crate) async fn bind(settings: SideSettings) -> Result<Self, almondwell_wire::Error> {
         let seal = Seal::new(&settings.secret);
         let socket = Socket::bind(settings.control, seal.clone()).await?;
-        let queue = Queue::new(settings.places.into(), settings.backlog as usize);
+        let queue = Queue::new(almondwell_core::Settings {
+            backlog: settings.backlog as usize,
+            places: settings.places.into(),
+            ..almondwell_core::Settings::default()
+        });
         let clock = Clock::start();
         Ok(Self {
             clock,
@@ -68,14 +72,26 @@
 
     /// Sends offers while places are free.
     pub(crate) async fn offer(&self) {
-        if !self.health.is_up() {
-            return;
+        while let Some(offer) = self.next_offer() {
+            self.send_grant(offer).await;
         }
-        loop {
-            let offer = self.queue().next(self.clock.now());
-            let Some(offer) = offer else { return };
+    }
+
+    /// Sends offers while places are free; returns whether `request` got one.
+    pub(crate) async fn offer_to(&self, request: RequestId) -> bool {
+        let mut is_offered = false;
+        while let Some(offer) = self.next_offer() {
+            is_offered |= offer.request == request;
             self.send_grant(offer).await;
         }
+        is_offered
+    }
+
+    fn next_offer(&self) -> Option<Offer<SocketAddr>> {
+        if !self.health.is_up() {
+            return None;
+        }
+        self.queue().next(self.clock.now())
     }
 
     pub(crate) async fn send_grant(&self, offer: Offer<SocketAddr>) {
--- a/side/src/upstream.rs
+++ b/side/src/upstream.rs
@@ -4,7 +4,7 @@
 use crate::side::Side;
 use crate::sink::Sink;
 use crate::{order, withdrawal};
-use almondwell_schema::{Chunk, Crash, End, Fault, Head, Header, Reason, Run, Verdict};
+use almondwell_schema::{Chunk, Crash, End, Fault, Head, Header, Reason, Run, Ticket, Verdict};
 use almondwell_wire::Error;
 use async_std::io::ReadExt;
 use async_std::net::TcpStream;
@@ -40,7 +40,7 @@
             withdrawal::run(side).await;
             answered
         }
-        Ok(response) => forward(&stay, side, connection, response).await,
+        Ok(response) => forward(&stay, side, connection, run.ticket, response).await,
         Err(error) => {
             side.metrics.upstream_failures.inc();
             broken(&stay, connection, &error.to_string()).await
@@ -70,6 +70,7 @@
     stay: &Stay<'_>,
     side: &Side,
     connection: &mut impl Sink,
+    ticket: Ticket,
     mut response: Response,
 ) -> Result<(), Error> {
     let expected = response.len();
@@ -81,6 +82,7 @@
             Ok(0) => break,
             Ok(read) => {
                 length += read as u64;
+                side.queue().token(side.clock.now(), ticket);
                 let bytes = buffer[..read].to_vec();
                 connection.write(&Chunk { bytes }.into()).await?;
             }
--- a/side/src/withdrawal.rs
+++ b/side/src/withdrawal.rs
@@ -4,6 +4,7 @@
 use crate::{announcement, control};
 use almondwell_schema::Reason;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 /// Refuses what waits and tells all entries; what runs goes on.
 pub(crate) async fn run(side: &Side) {
@@ -12,7 +13,8 @@
     }
     let waiting = side.queue().leave();
     for reservation in waiting {
-        control::refuse(side, reservation.request, Reason::Leaving, reservation.from).await;
+        let (request, from) = (reservation.request, reservation.from);
+        control::refuse(side, request, Reason::Leaving, Duration::ZERO, from).await;
     }
     announcement::run(side).await;
 }
