--- a/tests/tests/main.rs
+++ b/tests/tests/main.rs
@@ -10,6 +10,7 @@
 mod membership;
 mod outage;
 mod path;
+mod policy;
 mod quarantine;
 mod random;
 mod raw;
--- /dev/null
+++ b/tests/tests/policy.rs
@@ -0,0 +1,145 @@
+//! Order, admission and avoidance of slow upstreams with real processes.
+
+use async_std::task;
+use eyre::{Result, ensure};
+use fakes::http::{Answer, open, request};
+use fakes::set::{Set, Settings, chat_body};
+use http_types::Method;
+use serde_json::json;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tests::cases;
+
+cases! {
+    refuses_early_and_serves_the_top_tier_in_overload(narrow()) = holds_top_tier;
+    sends_no_urgent_work_to_a_slowed_engine(streaming()) = avoids_slowed;
+}
+
+/// One engine of four places whose calls take a tenth of a second.
+fn narrow() -> Settings {
+    Settings {
+        batch: 4,
+        engines: 1,
+        entries: 2,
+        plains: 0,
+        token: Duration::from_millis(10),
+        ..Settings::default()
+    }
+}
+
+fn streaming() -> Settings {
+    Settings {
+        engines: 2,
+        entries: 1,
+        plains: 0,
+        token: Duration::from_millis(30),
+        ..Settings::default()
+    }
+}
+
+/// Sends `count` calls of `class` at once.
+async fn flood(set: &Arc<Set>, class: &'static str, count: usize) -> Result<Vec<Answer>> {
+    let calls: Vec<_> = (0..count)
+        .map(|number| {
+            let set = set.clone();
+            task::spawn(async move {
+                let prompt = format!("{class} {number}");
+                set.chat(number % 2, class, &prompt, 10).await
+            })
+        })
+        .collect();
+    let mut answers = Vec::new();
+    for call in calls {
+        answers.push(call.await?);
+    }
+    Ok(answers)
+}
+
+/// Summaries come at several times the capacity: each ends answered or truthfully refused, and
+/// urgent calls in between are answered within their target.
+async fn holds_top_tier(set: Set) -> Result<()> {
+    const SUMMARIES: usize = 200;
+    const URGENT_TARGET: Duration = Duration::from_secs(1);
+    let set = Arc::new(set);
+    flood(&set, "summary", 8).await?;
+    flood(&set, "urgent", 4).await?;
+    let background = set.clone();
+    let background = task::spawn(async move { flood(&background, "summary", SUMMARIES).await });
+    for _ in 0..5 {
+        task::sleep(Duration::from_millis(100)).await;
+        let start = Instant::now();
+        for answer in flood(&set, "urgent", 2).await? {
+            ensure!(answer.status() == 200, "{}", answer.text());
+        }
+        ensure!(start.elapsed() < URGENT_TARGET, "{:?}", start.elapsed());
+    }
+    let mut refused = 0;
+    let mut served: u64 = 12 + 10;
+    for answer in background.await? {
+        if answer.status() == 200 {
+            served += 1;
+            continue;
+        }
+        ensure!(answer.status() == 503, "{}", answer.text());
+        ensure!(answer.header("Almondwell-Verdict") == "not-run");
+        let retry: u64 = answer.header("Retry-After").parse()?;
+        ensure!((1..=60).contains(&retry), "{retry}");
+        refused += 1;
+    }
+    println!("{refused} of {SUMMARIES} summaries refused");
+    ensure!(
+        refused > 0,
+        "no call was refused at several times the capacity"
+    );
+    let records = set.read(set.upstreams[0].address, "/records").await?;
+    ensure!(
+        records["started"] == served,
+        "a refused call ran: {records}"
+    );
+    Ok(())
+}
+
+/// An engine whose open streams slow down tenfold is given no urgent call within a second.
+async fn avoids_slowed(set: Set) -> Result<()> {
+    const CALLS: usize = 20;
+    let mut streams = Vec::new();
+    for number in 0..8 {
+        streams.push(stream(&set, &format!("long {number}"), 400).await?);
+    }
+    task::sleep(Duration::from_millis(1500)).await;
+    let slowed = set.upstreams[0].address;
+    set.control(slowed, &json!({"slow": 10})).await?;
+    task::sleep(Duration::from_secs(1)).await;
+    let before = started(&set).await?;
+    for number in 0..CALLS {
+        let answer = set
+            .chat(0, "urgent", &format!("urgent {number}"), 1)
+            .await?;
+        ensure!(answer.status() == 200, "{}", answer.text());
+    }
+    let taken = started(&set).await? - before;
+    println!("{taken} of {CALLS} urgent calls at the slowed engine");
+    ensure!(
+        taken == 0,
+        "{taken} of {CALLS} calls went to the slowed engine"
+    );
+    drop(streams);
+    Ok(())
+}
+
+async fn started(set: &Set) -> Result<u64> {
+    let records = set.read(set.upstreams[0].address, "/records").await?;
+    Ok(records["started"].as_u64().unwrap_or(0))
+}
+
+async fn stream(set: &Set, prompt: &str, tokens: u64) -> Result<http_types::Response> {
+    let address = set.entries[0].callers;
+    let headers = [("Authorization", "Bearer retail-key")];
+    let body = chat_body(prompt, tokens, true);
+    let path = "/v1/chat/completions";
+    open(
+        address,
+        request(Method::Post, address, path, &headers, body),
+    )
+    .await
+}
