Let late writes of the stand-in arrive after their caller has gone

Cause: the stand-in of the object API dropped a held write when its caller left or died, so that the test of a late write saw none: the client leaves after 2 s, the write was due after 3 s.

Change: a held write is applied by a task of its own. A test with two faults, a holder killed while its intent is on its way.

The conditional update itself was not switched off in a trial of these tests.

--- a/fakes/src/platform.rs
+++ b/fakes/src/platform.rs
@@ -100,7 +100,7 @@
     .await
 }
 
-async fn handle(platform: &Platform, mut request: Request) -> http_types::Result<Response> {
+async fn handle(platform: &Arc<Platform>, mut request: Request) -> http_types::Result<Response> {
     let url = request.url().clone();
     let path = url.path().to_string();
     if path == "/control" {
@@ -139,7 +139,7 @@
     };
     match request.method() {
         Method::Get => Ok(read(platform, key, &url).await),
-        Method::Put | Method::Delete => write(platform, key, &mut request).await,
+        Method::Put | Method::Delete => write(platform, key, request).await,
         _ => Ok(status(StatusCode::MethodNotAllowed)),
     }
 }
@@ -243,9 +243,9 @@
 }
 
 async fn write(
-    platform: &Platform,
+    platform: &Arc<Platform>,
     key: &str,
-    request: &mut Request,
+    mut request: Request,
 ) -> http_types::Result<Response> {
     let value = request.body_bytes().await?;
     if value.len() > MAX_VALUE {
@@ -253,15 +253,35 @@
     }
     let (is_late, is_lost, delay) = draw_faults(platform);
     if is_late {
-        task::sleep(delay).await;
+        // It takes effect also when its caller has left or died.
+        task::spawn(apply_late(
+            platform.clone(),
+            key.into(),
+            request,
+            value,
+            delay,
+        ));
+        task::sleep(HANG).await;
+        return Ok(status(StatusCode::GatewayTimeout));
     }
-    let response = apply(platform, key, request, value);
-    if is_late || is_lost {
+    let response = apply(platform, key, &request, value);
+    if is_lost {
         task::sleep(HANG).await;
     }
     Ok(response)
 }
 
+async fn apply_late(
+    platform: Arc<Platform>,
+    key: Box<str>,
+    request: Request,
+    value: Vec<u8>,
+    delay: Duration,
+) {
+    task::sleep(delay).await;
+    apply(&platform, &key, &request, value);
+}
+
 /// Counts a write and says whether it is late, whether its answer is lost, and the delay.
 fn draw_faults(platform: &Platform) -> (bool, bool, Duration) {
     let mut state = platform.state();
--- a/tests/tests/ledger.rs
+++ b/tests/tests/ledger.rs
@@ -21,6 +21,7 @@
     follows_a_run_whose_caller_left(two_sides(500)) = follows_run;
     never_reruns_a_key_whose_side_was_killed(two_sides(1500)) = side_killed;
     fences_a_holder_that_was_paused_and_replaced(two_sides(50)) = holder_paused;
+    takes_over_from_a_killed_holder_whose_write_is_late(two_sides(5)) = killed_with_late_write;
     settles_a_write_whose_reply_was_lost(two_sides(5)) = reply_lost;
     settles_a_write_that_is_still_on_its_way(two_sides(5)) = write_late;
     never_runs_before_its_intent_is_durable(two_sides(5)) = write_held;
@@ -165,6 +166,29 @@
     expect_runs(&set, &key, 1).await
 }
 
+/// Two faults at once: the holder's intent is on its way when the holder dies.
+async fn killed_with_late_write(set: Set) -> Result<()> {
+    let set = Arc::new(set);
+    let (primer, key) = same_shard();
+    prime(&set, &primer).await?;
+    let holder = holder(&set, &primer).await?;
+    hold_next_write(&set, Duration::from_secs(3)).await?;
+    let before = writes(&set).await?;
+    let call = spawn(&set, 0, &key);
+    wait_held_write(&set, before).await?;
+    set.upstreams[holder].side.signal("KILL")?;
+    let answer = call.await?;
+    ensure!(answer.status() == 200, "{}", answer.text());
+    task::sleep(Duration::from_secs(3)).await;
+    for key in [&primer, &key] {
+        let replayed = set.order(1, "booking", key, "fukuoka").await?;
+        ensure!(replayed.status() == 200, "{}", replayed.text());
+        ensure!(replayed.header("Almondwell-Replayed") == "true");
+        expect_runs(&set, key, 1).await?;
+    }
+    Ok(())
+}
+
 async fn reply_lost(set: Set) -> Result<()> {
     let (primer, key) = same_shard();
     prime(&set, &primer).await?;
