Wait for a side while a pool has none

Cause: a call whose pool had no known side was refused at once.

Ruled out: a longer pause in the test, which would only hide it; a read of the list at each leaving side (a read by every entry for each replacement).

--- a/almondwell/src/dispatch.rs
+++ b/almondwell/src/dispatch.rs
@@ -6,6 +6,7 @@
 use crate::job::Job;
 use crate::once;
 use crate::refusal::Refusal;
+use crate::vacancy;
 use crate::waiters::Waiter;
 use almondwell_core::sample;
 use almondwell_schema::{Datagram, Instance, Reserve, Ticket, Verdict, Withdraw};
@@ -60,12 +61,9 @@
             let message = "the deadline passed while the request waited for a place";
             return Err(Refusal::busy(message, RETRY_AFTER));
         }
+        vacancy::wait(entry, &job.service.pool, left).await?;
         let sides = entry.members.sides();
         let pool = sides.pool(&job.service.pool);
-        if pool.is_empty() {
-            let message = format!("no upstream of the pool `{}` is known", job.service.pool);
-            return Err(Refusal::busy(message, RETRY_AFTER));
-        }
         ask(entry, job, pool, &mut asked, left).await;
         if let Some((side, ticket)) = wait(&waiter, left, &mut asked).await {
             asked.sides.retain(|asked| *asked != side);
--- a/almondwell/src/main.rs
+++ b/almondwell/src/main.rs
@@ -54,6 +54,7 @@
 mod status;
 mod stored;
 mod subcommand;
+mod vacancy;
 mod waiters;
 
 use std::process::ExitCode;
--- a/almondwell/src/once.rs
+++ b/almondwell/src/once.rs
@@ -12,6 +12,7 @@
 use crate::quarantine;
 use crate::refusal::Refusal;
 use crate::sides::Ranked;
+use crate::vacancy;
 use almondwell_core::ledger::{call_key, shard_of};
 use almondwell_schema::{Datagram, Fault, Reason, Ticket, Verdict, Withdraw};
 use async_std::future::timeout;
@@ -43,11 +44,13 @@
     let mut last = Refusal::busy("no upstream granted a place in time", RETRY_AFTER);
     let mut verdict = Verdict::NotRun;
     let mut rank = 0;
-    while left(entry, job).is_some() {
+    while let Some(left) = left(entry, job) {
+        if let Err(refusal) = vacancy::wait(entry, &job.service.pool, left).await {
+            return Err(worse(verdict, refusal));
+        }
         let sides = ranked(entry, job);
         let Some(side) = sides.get(rank % sides.len().max(1)).copied() else {
-            let message = format!("no upstream of the pool `{}` is known", job.service.pool);
-            return Err(worse(verdict, Refusal::busy(message, RETRY_AFTER)));
+            continue;
         };
         let refusal = match attempt(entry, job, side).await {
             Ok(Some(answer)) => return Ok(answer),
--- a/tests/tests/stop.rs
+++ b/tests/tests/stop.rs
@@ -20,6 +20,7 @@
 
 cases! {
     a_rolling_replacement_cuts_no_request(rolling()) = rolls;
+    a_request_waits_for_the_successor_of_the_last_side(one_entry()) = waits_for_successor;
     a_connection_accepted_before_the_stop_is_served(one_entry()) = serves_accepted;
     a_kept_connection_gets_its_last_answer_and_is_closed(one_entry()) = closes_kept;
     an_entry_that_stops_finishes_its_streams(one_entry()) = finishes_streams;
@@ -103,6 +104,29 @@
     Ok(())
 }
 
+/// The only side of the pool has ended, and its successor starts a second after the request.
+async fn waits_for_successor(mut set: Set) -> Result<()> {
+    set.upstreams[0].side.signal("TERM")?;
+    set.upstreams[0].side.wait(STOP_TIME)?;
+    let address = set.entries[0].callers;
+    let headers = [("Authorization", "Bearer retail-key")];
+    let body = chat_body("hammock", 2, false);
+    let request = request(
+        Method::Post,
+        address,
+        "/v1/chat/completions",
+        &headers,
+        body,
+    );
+    let waiting = task::spawn(http::call(address, request, STOP_TIME));
+    task::sleep(Duration::from_millis(500)).await;
+    let id = set.upstreams[0].id.clone();
+    set.replace_side(0, &id, Place::New).await?;
+    let answer = waiting.await?;
+    ensure!(answer.status() == 200, "{}", answer.text());
+    Ok(())
+}
+
 /// The request is sent only after the entry has been told to stop.
 async fn serves_accepted(mut set: Set) -> Result<()> {
     let address = set.entries[0].callers;
