--- a/almondwell/src/roster.rs
+++ b/almondwell/src/roster.rs
@@ -7,8 +7,9 @@
 
 /// Instances for each of which a read of the list costs as much as a read without changes.
 const LINES_PER_PERIOD: u32 = 100;
-const JITTER_LEAST: f64 = 0.75;
-const JITTER_MOST: f64 = 1.25;
+/// Least and most of the stated period; never more, so that the setting bounds the delay.
+const JITTER_LEAST: f64 = 0.5;
+const JITTER_MOST: f64 = 0.9;
 
 /// Reads the instance list again and again; while it cannot be read, the last one stays.
 pub(crate) async fn refresh(entry: &Entry) {
--- a/side/src/health.rs
+++ b/side/src/health.rs
@@ -19,6 +19,8 @@
 /// State of the upstream.
 pub(crate) struct Health {
     deaths: AtomicU64,
+    /// Whether the idle connection is open now.
+    is_open: AtomicBool,
     is_up: AtomicBool,
 }
 
@@ -26,6 +28,7 @@
     fn default() -> Self {
         Self {
             deaths: AtomicU64::new(0),
+            is_open: AtomicBool::new(false),
             is_up: AtomicBool::new(true),
         }
     }
@@ -37,6 +40,18 @@
         self.is_up.load(Ordering::Acquire)
     }
 
+    /// Waits a little until the upstream is known to live; `false` when it is not.
+    ///
+    /// A request sent to an upstream that is already dead would pass for the cause of its death.
+    pub(crate) async fn is_live(&self) -> bool {
+        let open = async {
+            while !self.is_open.load(Ordering::Acquire) {
+                task::sleep(NOTICE_PERIOD).await;
+            }
+        };
+        timeout(NOTICE_TIME, open).await.is_ok()
+    }
+
     /// Times that the upstream closed or refused the idle connection.
     pub(crate) fn deaths(&self) -> u64 {
         self.deaths.load(Ordering::Acquire)
@@ -69,7 +84,9 @@
     loop {
         if let Some(tcp) = connect(side).await {
             side.health.set(side, true);
+            side.health.is_open.store(true, Ordering::Release);
             gone(&tcp).await;
+            side.health.is_open.store(false, Ordering::Release);
             side.health.note_death();
         } else {
             side.health.note_death();
--- a/side/src/quarantine.rs
+++ b/side/src/quarantine.rs
@@ -64,6 +64,9 @@
             Treatment::Alone => Floor::Alone(alone(side, run).await?),
             Treatment::Refused => return Err(refused(side, run)),
         };
+        if !side.health.is_live().await {
+            return Err(down());
+        }
         let is_alone = matches!(floor, Floor::Alone(_));
         // A crash may have been noted while the request waited.
         if treatment(side, run) <= allowed(is_alone) {
@@ -109,6 +112,16 @@
     })
 }
 
+fn down() -> Fault {
+    Fault {
+        verdict: Verdict::NotRun,
+        reason: Reason::Stalled,
+        retry: RETRY_AFTER,
+        detail: "the upstream takes no connection".into(),
+        crashes: Vec::new(),
+    }
+}
+
 fn refused(side: &Side, run: &Run) -> Fault {
     Fault {
         verdict: Verdict::NotRun,
