--- a/almondwell/src/call.rs
+++ b/almondwell/src/call.rs
@@ -4,7 +4,6 @@
 use crate::entry::Entry;
 use crate::home::Home;
 use crate::job::Job;
-use crate::once;
 use crate::pump;
 use crate::refusal::Refusal;
 use almondwell_schema::{Crash, Frame, Head, Run, Ticket, Verdict};
@@ -109,7 +108,7 @@
     match connection.read().await {
         Ok(Some(Frame::Fault(fault))) => {
             home.learn(&fault);
-            Err(once::refusal(fault))
+            Err(fault.into())
         }
         Ok(Some(frame)) => Ok(frame),
         Ok(None) => Err(Refusal::broken(
--- a/almondwell/src/once.rs
+++ b/almondwell/src/once.rs
@@ -8,25 +8,18 @@
 use crate::call;
 use crate::entry::Entry;
 use crate::job::{Job, hash};
-use crate::quarantine;
-use crate::refusal::Refusal;
+use crate::refusal::{EXPIRED, FULL, INTERRUPTED, Refusal, STORE_DOWN};
 use crate::reserve::reservation;
 use crate::sides::Ranked;
 use crate::vacancy;
 use almondwell_core::ledger::{call_key, shard_of};
-use almondwell_schema::{Datagram, Fault, Reason, Ticket, Verdict, Withdraw};
+use almondwell_schema::{Datagram, Ticket, Verdict, Withdraw};
 use async_std::future::timeout;
 use async_std::task;
-use http_types::StatusCode;
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-const EXPIRED: &str = "place_expired";
-const FULL: &str = "ledger_full";
-const INTERRUPTED: &str = "interrupted";
-/// Code of a refusal for want of the object API.
-pub(crate) const STORE_DOWN: &str = "store_down";
 /// Time without a word from a side after which the next in rank is asked.
 const SILENCE: Duration = Duration::from_millis(250);
 /// Time after which a side that queued a reservation is asked again.
@@ -195,25 +188,3 @@
         self.entry.send_now(&Withdraw { request }.into(), self.side);
     }
 }
-
-/// The refusal that a side's fault stands for.
-pub(crate) fn refusal(fault: Fault) -> Refusal {
-    let (status, code) = match fault.reason {
-        Reason::Expired => (StatusCode::ServiceUnavailable, EXPIRED),
-        Reason::Full => (StatusCode::ServiceUnavailable, FULL),
-        Reason::Interrupted => (StatusCode::Conflict, INTERRUPTED),
-        Reason::KeyReused => (StatusCode::UnprocessableEntity, "key_reused"),
-        Reason::NotKept => (StatusCode::Conflict, "answer_not_kept"),
-        Reason::StoreDown => (StatusCode::ServiceUnavailable, STORE_DOWN),
-        Reason::Quarantined => return quarantine::refused(fault.verdict),
-        Reason::Late | Reason::Leaving | Reason::Stalled | Reason::Unknown => {
-            return Refusal::broken(fault.verdict, fault.detail);
-        }
-    };
-    Refusal {
-        code,
-        retry: Some(fault.retry).filter(|retry| !retry.is_zero()),
-        status,
-        ..Refusal::broken(fault.verdict, fault.detail)
-    }
-}
--- a/almondwell/src/quarantine.rs
+++ b/almondwell/src/quarantine.rs
@@ -9,7 +9,6 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::future::timeout;
 use async_std::task;
-use http_types::StatusCode;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -69,7 +68,7 @@
             return None;
         }
         let treatment = self.quarantine().treatment(now, job.fingerprint);
-        (treatment == Treatment::Refused).then(|| refused(Verdict::NotRun))
+        (treatment == Treatment::Refused).then(|| Refusal::quarantined(Verdict::NotRun))
     }
 
     fn announce(&self, fingerprint: Fingerprint) {
@@ -105,18 +104,6 @@
     }
 }
 
-/// The refusal of a request that crashed the upstreams that ran it.
-pub(crate) fn refused(verdict: Verdict) -> Refusal {
-    Refusal {
-        verdict,
-        ..Refusal::invalid(
-            StatusCode::UnprocessableEntity,
-            "quarantined",
-            "the request crashed the upstreams that ran it and is not run again",
-        )
-    }
-}
-
 /// Tells sides and the object API what is new, until the process ends.
 pub(crate) async fn share(entry: &Entry) {
     let news = &entry.suspects.news.1;
--- a/almondwell/src/refusal.rs
+++ b/almondwell/src/refusal.rs
@@ -1,6 +1,6 @@
 //! Truthful refusals.
 
-use almondwell_schema::{RequestId, Verdict};
+use almondwell_schema::{Fault, Reason, RequestId, Verdict};
 use http_types::{Response, StatusCode};
 use serde_json::json;
 use std::time::Duration;
@@ -10,6 +10,15 @@
 /// Header that names the request.
 pub(crate) const REQUEST_HEADER: &str = "Almondwell-Request";
 
+/// Code of a refusal of a place that was taken too late.
+pub(crate) const EXPIRED: &str = "place_expired";
+/// Code of a refusal for want of room in the ledger.
+pub(crate) const FULL: &str = "ledger_full";
+/// Code of a refusal of a key whose run broke off.
+pub(crate) const INTERRUPTED: &str = "interrupted";
+/// Code of a refusal for want of the object API.
+pub(crate) const STORE_DOWN: &str = "store_down";
+
 /// Time after which a caller may repeat a call that broke off before it ran.
 const NOT_RUN_RETRY: Duration = Duration::from_secs(1);
 
@@ -54,6 +63,18 @@
         }
     }
 
+    /// A request that crashed the upstreams that ran it.
+    pub(crate) fn quarantined(verdict: Verdict) -> Self {
+        Self {
+            verdict,
+            ..Self::invalid(
+                StatusCode::UnprocessableEntity,
+                "quarantined",
+                "the request crashed the upstreams that ran it and is not run again",
+            )
+        }
+    }
+
     /// A call that was not run for want of a place.
     pub(crate) fn busy(message: impl Into<Box<str>>, retry: Duration) -> Self {
         Self {
@@ -105,3 +126,27 @@
         response
     }
 }
+
+impl From<Fault> for Refusal {
+    /// The refusal that a side's fault stands for.
+    fn from(fault: Fault) -> Self {
+        let (status, code) = match fault.reason {
+            Reason::Expired => (StatusCode::ServiceUnavailable, EXPIRED),
+            Reason::Full => (StatusCode::ServiceUnavailable, FULL),
+            Reason::Interrupted => (StatusCode::Conflict, INTERRUPTED),
+            Reason::KeyReused => (StatusCode::UnprocessableEntity, "key_reused"),
+            Reason::NotKept => (StatusCode::Conflict, "answer_not_kept"),
+            Reason::StoreDown => (StatusCode::ServiceUnavailable, STORE_DOWN),
+            Reason::Quarantined => return Self::quarantined(fault.verdict),
+            Reason::Late | Reason::Leaving | Reason::Stalled | Reason::Unknown => {
+                return Self::broken(fault.verdict, fault.detail);
+            }
+        };
+        Self {
+            code,
+            retry: Some(fault.retry).filter(|retry| !retry.is_zero()),
+            status,
+            ..Self::broken(fault.verdict, fault.detail)
+        }
+    }
+}
--- a/almondwell/src/stored/accept.rs
+++ b/almondwell/src/stored/accept.rs
@@ -7,8 +7,7 @@
 use crate::entry::Entry;
 use crate::headers;
 use crate::job::Job;
-use crate::once::STORE_DOWN;
-use crate::refusal::Refusal;
+use crate::refusal::{Refusal, STORE_DOWN};
 use almondwell_core::ledger::{call_key, digest};
 use almondwell_platform::{Error, Expect, Written};
 use almondwell_schema::{Verdict, Work, WorkId};
--- a/almondwell/src/stored/look_up.rs
+++ b/almondwell/src/stored/look_up.rs
@@ -3,8 +3,7 @@
 use super::run::ended;
 use super::{decode, done_key, open_key};
 use crate::entry::Entry;
-use crate::once::STORE_DOWN;
-use crate::refusal::{REQUEST_HEADER, Refusal, VERDICT_HEADER};
+use crate::refusal::{REQUEST_HEADER, Refusal, STORE_DOWN, VERDICT_HEADER};
 use crate::{catalog, headers};
 use almondwell_platform::Error;
 use almondwell_schema::{Ended, Ending, Kept, RequestId, Verdict, Work, WorkId};
