--- a/almondwell/src/reserve.rs
+++ b/almondwell/src/reserve.rs
@@ -96,7 +96,7 @@
 
     fn handle(&mut self, datagram: Datagram, from: SocketAddr) -> Step<SocketAddr> {
         match datagram {
-            Datagram::Grant(grant) => self.binding.granted(from, grant.ticket),
+            Datagram::Grant(grant) => Step::Run(from, grant.ticket),
             Datagram::Queued(queued) => {
                 self.limit = REPEAT;
                 let Ok(directory) = self.directory() else {
@@ -131,12 +131,8 @@
             .refused(now, from, refuse.retry, &mut random, &directory, &mut spill)
     }
 
-    /// Takes the offer that is held, or asks again and others in place of silent sides.
+    /// Asks again and others in place of silent sides.
     fn time_out(&mut self) -> Result<Step<SocketAddr>, Refusal> {
-        let step = self.binding.take_held();
-        if step != Step::Wait {
-            return Ok(step);
-        }
         let directory = self.directory()?;
         Ok(Step::Ask(self.binding.renew(&mut rand::rng(), &directory)))
     }
@@ -148,7 +144,6 @@
     ) -> Result<Option<(SocketAddr, Ticket)>, Refusal> {
         match step {
             Step::Ask(sides) => self.ask(&sides).await,
-            Step::Hold(time) => self.limit = time,
             Step::Refuse(retry) if self.is_overloaded => {
                 let message = "no upstream can start the request within its target";
                 return Err(Refusal::busy(message, retry.max(RETRY_AFTER)));
--- a/core/src/binding.rs
+++ b/core/src/binding.rs
@@ -11,8 +11,6 @@
 const WIDENING: usize = 3;
 /// Sides that are likely to accept when the first ones refused.
 const WIDENED_COPIES: usize = 2;
-/// Time that an offer is kept while the side that holds the prefix has not answered.
-const HOME_GRACE: Duration = Duration::from_millis(4);
 /// Wait in the region from which a side in another region is worth its delay and bytes.
 const SPILL_WAIT: Duration = Duration::from_millis(250);
 
@@ -21,8 +19,6 @@
 pub enum Step<S> {
     /// Asks these sides too.
     Ask(Vec<S>),
-    /// Keeps the offer until the home side answers, at most this long.
-    Hold(Duration),
     /// Tells the caller to come back after this time; all sides refused.
     Refuse(Duration),
     /// Runs the request at this side and withdraws it from the others.
@@ -38,11 +34,13 @@
     /// Bytes that the request and its answer put on the link between regions.
     bytes: u32,
     has_spilled: bool,
-    held: Option<(S, Ticket)>,
-    home: Option<S>,
+    /// Whether the whole sample has been asked.
+    is_sampled: bool,
     prefix: u64,
     retry: Option<Duration>,
     round: u32,
+    /// Sides of the region that the first round asks in the end.
+    sample: usize,
     samples: usize,
 }
 
@@ -60,19 +58,20 @@
             asked: BTreeMap::new(),
             bytes,
             has_spilled: false,
-            held: None,
-            home: None,
+            is_sampled: samples <= 1,
             prefix,
             retry: None,
             round: 0,
+            sample: 0,
             samples,
         }
     }
 
     /// Sides likely to hold a reservation once the sides last asked have answered.
     pub fn copies(&self) -> u8 {
+        // The first side asked counts the others too: it queues only if they are asked as well.
         let copies = if self.round == 0 {
-            self.asked.len()
+            self.asked.len().max(self.sample)
         } else {
             WIDENED_COPIES
         };
@@ -87,42 +86,33 @@
             .map(|(side, _)| *side)
     }
 
-    /// The first sides to ask: the home of the prefix and others at random.
+    /// The first side to ask, or sides of other regions where the own one has none: the home of the
+    /// prefix or one at random. The others of the sample are asked if it has no place free.
     pub fn start(&mut self, random: &mut impl Rng, directory: &Directory<S>) -> Vec<S> {
         // A single sample has no second side to turn to when the home is slow.
-        if self.samples > 1 {
-            self.home = directory.home(self.prefix);
+        let home = directory.home(self.prefix).filter(|_| self.samples > 1);
+        self.sample = self.samples.min(directory.near_len());
+        let mut sides: Vec<_> = home.into_iter().collect();
+        if sides.is_empty() {
+            sides = directory.near(random, 1, |_| true);
         }
-        let home = self.home;
-        let count = self.samples - usize::from(home.is_some());
-        let mut sides = directory.near(random, count, |side| Some(side) != home);
-        sides.extend(home);
         if sides.is_empty() {
+            self.is_sampled = true;
             sides = directory.far(random, self.samples, |_| true);
         }
         self.ask(sides)
     }
 
-    /// Notes an offer.
-    pub fn granted(&mut self, side: S, ticket: Ticket) -> Step<S> {
-        let is_home = self.home == Some(side);
-        let home = self.home.and_then(|home| self.asked.get(&home));
-        if is_home || home != Some(&State::Silent) {
-            return Step::Run(side, ticket);
-        }
-        if self.held.is_some() {
-            return Step::Wait;
-        }
-        self.held = Some((side, ticket));
-        Step::Hold(HOME_GRACE)
-    }
-
-    /// Takes the offer kept for the home side's sake.
-    pub fn take_held(&mut self) -> Step<S> {
-        match self.held.take() {
-            Some((side, ticket)) => Step::Run(side, ticket),
-            None => Step::Wait,
+    /// The others of the sample, once the first side has no place free.
+    fn ask_rest(&mut self, random: &mut impl Rng, directory: &Directory<S>) -> Option<Step<S>> {
+        if self.is_sampled {
+            return None;
         }
+        self.is_sampled = true;
+        let count = self.samples.saturating_sub(1);
+        let asked = &self.asked;
+        let sides = directory.near(random, count, |side| !asked.contains_key(&side));
+        (!sides.is_empty()).then(|| Step::Ask(self.ask(sides)))
     }
 
     /// Notes that a reservation waits at `side` for about `wait`.
@@ -136,8 +126,8 @@
         spill: &mut Spill,
     ) -> Step<S> {
         self.asked.insert(side, State::Queued(wait));
-        if self.held.is_some() {
-            return self.take_held();
+        if let Some(step) = self.ask_rest(random, directory) {
+            return step;
         }
         if self.least_wait().is_none_or(|wait| wait < SPILL_WAIT) {
             return Step::Wait;
@@ -162,8 +152,8 @@
     ) -> Step<S> {
         self.asked.insert(side, State::Refused);
         self.retry = Some(self.retry.map_or(retry, |least| least.min(retry)));
-        if self.held.is_some() {
-            return self.take_held();
+        if let Some(step) = self.ask_rest(random, directory) {
+            return step;
         }
         if self.open().next().is_some() {
             return Step::Wait;
@@ -202,6 +192,7 @@
     /// Sides to ask again, and others in place of those that are silent, gone or refused.
     pub fn renew(&mut self, random: &mut impl Rng, directory: &Directory<S>) -> Vec<S> {
         self.round = 0;
+        self.is_sampled = true;
         self.asked
             .retain(|side, state| matches!(state, State::Queued(_)) && directory.contains(*side));
         let queued: Vec<_> = self.asked.keys().copied().collect();
--- a/core/src/directory.rs
+++ b/core/src/directory.rs
@@ -62,6 +62,11 @@
         self.near.contains(&side) || self.far.contains(&side)
     }
 
+    /// Sides in the entry's region.
+    pub fn near_len(&self) -> usize {
+        self.near.len()
+    }
+
     /// Sides in all regions.
     pub fn len(&self) -> usize {
         self.far.len() + self.near.len()
