Keep the product's own objects in the platform's store

Two interfaces and two stand-ins stood for one store, and what the ledger, stored work and the configuration need of it was never proved against the store that exists.

Ruled out: listing as before, since the store's lists carry values, not only names.

--- a/almondwell/src/configuration.rs
+++ b/almondwell/src/configuration.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Entries of one region that watch the object API; one more than is needed.
+/// Entries of one region that watch the store; one more than is needed.
 const WATCHERS: usize = 2;
 /// Share of exchanges that may cross to another region.
 const OTHER_REGIONS: f64 = 0.125;
--- a/almondwell/src/entry.rs
+++ b/almondwell/src/entry.rs
@@ -14,7 +14,7 @@
 use crate::waiters::Waiters;
 use almondwell_configuration::Replica;
 use almondwell_daemon::Clock;
-use almondwell_platform::{Instances, Objects};
+use almondwell_platform::Objects;
 use almondwell_schema::{Datagram, EntrySettings, Epoch, RequestId};
 use almondwell_wire::{Error, Seal, Socket};
 use arc_swap::ArcSwap;
@@ -28,7 +28,6 @@
     pub(crate) burn: Arc<Burn>,
     pub(crate) catalog: ArcSwap<Catalog>,
     pub(crate) clock: Clock,
-    pub(crate) instances: Instances,
     pub(crate) memory: Memory,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) objects: Objects,
@@ -59,7 +58,6 @@
             burn: Arc::new(Burn::new(&settings)),
             catalog: ArcSwap::default(),
             clock: Clock::start(),
-            instances: Instances::new(settings.platform),
             memory: Memory::new(settings.body_memory),
             metrics: Arc::default(),
             objects: Objects::new(settings.platform),
--- a/almondwell/src/publish.rs
+++ b/almondwell/src/publish.rs
@@ -22,7 +22,7 @@
 flags:
   --author NAME        who publishes, for the loser of a race [$USER]
   --patience DURATION  time for which a platform that does not answer is tried [20s]
-  --platform ADDRESS   address of the object API
+  --platform ADDRESS   address of the store
 ";
 
 /// Checks service files and writes them as one version.
@@ -45,7 +45,7 @@
         }
     }
     let Some(platform) = platform else {
-        bail!("--platform is missing; expected the object API's address");
+        bail!("--platform is missing; expected the store's address");
     };
     if files.is_empty() {
         bail!("no service files; usage: almondwell publish --platform ADDRESS FILES");
--- a/almondwell/src/quarantine.rs
+++ b/almondwell/src/quarantine.rs
@@ -12,7 +12,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// Key of the suspects in the object API.
+/// Key of the suspects in the store.
 const KEY: &str = "quarantine/current";
 const NEWS: usize = 256;
 /// Period at which the object is read, for news that got lost as datagrams.
@@ -104,7 +104,7 @@
     }
 }
 
-/// Tells sides and the object API what is new, until the process ends.
+/// Tells sides and the store what is new, until the process ends.
 pub(crate) async fn share(entry: &Entry) {
     let news = &entry.suspects.news.1;
     let mut is_dirty = false;
--- a/almondwell/src/refusal.rs
+++ b/almondwell/src/refusal.rs
@@ -16,7 +16,7 @@
 pub(crate) const FULL: &str = "ledger_full";
 /// Code of a refusal of a key whose run broke off.
 pub(crate) const INTERRUPTED: &str = "interrupted";
-/// Code of a refusal for want of the object API.
+/// Code of a refusal for want of the store.
 pub(crate) const STORE_DOWN: &str = "store_down";
 
 /// Time after which a caller may repeat a call that broke off before it ran.
--- a/almondwell/src/roster.rs
+++ b/almondwell/src/roster.rs
@@ -1,7 +1,6 @@
 //! Reads the instance list.
 
 use crate::entry::Entry;
-use almondwell_platform::ETag;
 use async_std::task;
 use std::time::Duration;
 
@@ -13,11 +12,12 @@
 
 /// Reads the instance list again and again; while it cannot be read, the last one stays.
 pub(crate) async fn refresh(entry: &Entry) {
-    let mut tag: Option<ETag> = None;
+    let mut list = entry.objects.instances();
     loop {
-        if let Ok(Some((instances, newer))) = entry.instances.newer(tag.as_ref()).await {
-            entry.members.list(instances);
-            tag = newer;
+        if let Ok(true) = list.refresh().await {
+            entry
+                .members
+                .list(list.images().values().cloned().collect());
         }
         task::sleep(period(entry)).await;
     }
--- a/almondwell/src/stored.rs
+++ b/almondwell/src/stored.rs
@@ -1,7 +1,7 @@
-//! Work that is accepted with `Prefer: respond-async`, kept in the object API until it has ended.
+//! Work that is accepted with `Prefer: respond-async`, kept in the store until it has ended.
 //!
-//! `work/live/open/ID` holds work that has not ended, `work/live/holder/NAME` the heartbeat of an
-//! entry that runs some, and `work/done/ID` the result.
+//! `work/open/ID` holds work that has not ended, `work/holder/NAME` the heartbeat of an entry that
+//! runs some, and `work/done/ID` the result.
 
 mod accept;
 mod claim;
@@ -17,33 +17,39 @@
 pub(crate) use pickup::serve;
 pub(crate) use state::State;
 
-use almondwell_schema::WorkId;
+use almondwell_platform::{MAX_VALUE, Mirror};
+use almondwell_schema::{Version, WorkId};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::time::{Duration, SystemTime};
 
-/// Prefix of what an entry lists to find work.
-const LIVE: &str = "work/live/";
-const HOLDER: &str = "work/live/holder/";
-const OPEN: &str = "work/live/open/";
-const DONE: &str = "work/done/";
+const HOLDER: &str = "work/holder";
+const OPEN: &str = "work/open";
+const DONE: &str = "work/done";
 
 /// Time after which work that could not be run is refused.
 const WORK_TIMEOUT: Duration = Duration::from_hours(24);
-/// Longest value of the object API, less what surrounds an answer.
-const MAX_WORK: usize = (1 << 20) - (4 << 10);
+/// Longest value, less what surrounds an answer.
+const MAX_WORK: usize = MAX_VALUE - (4 << 10);
 
 fn open_key(id: WorkId) -> String {
-    format!("{OPEN}{id:032x}")
+    format!("{OPEN}/{id:032x}")
 }
 
 fn done_key(id: WorkId) -> String {
-    format!("{DONE}{id:032x}")
+    format!("{DONE}/{id:032x}")
 }
 
-/// The id at the end of `key`, after `prefix`.
-fn id_of(key: &str, prefix: &str) -> Option<WorkId> {
-    WorkId::from_str_radix(key.strip_prefix(prefix)?, 16).ok()
+fn holder_key(name: &str) -> String {
+    format!("{HOLDER}/{name}")
+}
+
+/// Ids and versions of what a mirror of `OPEN` or `DONE` shows.
+fn ids(mirror: &Mirror<Version>) -> impl Iterator<Item = (WorkId, Version)> {
+    mirror.images().iter().filter_map(|(name, version)| {
+        let id = WorkId::from_str_radix(name, 16).ok()?;
+        Some((id, *version))
+    })
 }
 
 /// Time since the Unix epoch.
--- a/almondwell/src/stored/accept.rs
+++ b/almondwell/src/stored/accept.rs
@@ -146,6 +146,6 @@
         code: STORE_DOWN,
         retry: Some(RETRY_AFTER),
         status: StatusCode::ServiceUnavailable,
-        ..Refusal::broken(verdict, "the object API did not confirm the work in time")
+        ..Refusal::broken(verdict, "the store did not confirm the work in time")
     }
 }
--- a/almondwell/src/stored/heartbeat.rs
+++ b/almondwell/src/stored/heartbeat.rs
@@ -1,6 +1,6 @@
 //! The heartbeat that shows other entries that this one still runs its work.
 
-use super::HOLDER;
+use super::holder_key;
 use super::state::Heartbeat;
 use crate::entry::Entry;
 use almondwell_core::stored::HEARTBEAT;
@@ -27,7 +27,7 @@
         Some(last) => Expect::Version(last.version),
         None => Expect::Absent,
     };
-    let key = format!("{HOLDER}{}", entry.stored.name);
+    let key = holder_key(&entry.stored.name);
     match entry.objects.put(&key, &[], expect).await? {
         Written::Done(version) => {
             *last = Some(Heartbeat { time: now, version });
--- a/almondwell/src/stored/pickup.rs
+++ b/almondwell/src/stored/pickup.rs
@@ -1,10 +1,10 @@
 //! Finds stored work whose turn has come or whose holder has died.
 
 use super::claim::{Found, claim};
-use super::{HOLDER, LIVE, OPEN, decode, heartbeat, id_of, open_key, sweep};
+use super::{HOLDER, OPEN, decode, heartbeat, holder_key, ids, open_key, sweep};
 use crate::entry::Entry;
 use almondwell_core::stored::{Holders, LEASE};
-use almondwell_platform::{Expect, Listed, Written};
+use almondwell_platform::{Error, Expect, Mirror, Written};
 use almondwell_schema::{Version, Work, WorkId};
 use async_std::future::timeout;
 use async_std::task;
@@ -35,7 +35,7 @@
 }
 
 async fn look_again(entry: &Arc<Entry>) {
-    let mut view = View::default();
+    let mut view = View::new(entry);
     while !entry.drain.is_leaving() {
         claim_fresh(entry, jittered(entry.settings.work_period)).await;
         view.look(entry).await;
@@ -55,10 +55,11 @@
 }
 
 /// What this entry knows of stored work from earlier looks.
-#[derive(Default)]
 struct View {
+    heartbeats: Mirror<Version>,
     holders: Holders,
     known: BTreeMap<WorkId, Known>,
+    open: Mirror<Version>,
 }
 
 struct Known {
@@ -67,13 +68,31 @@
 }
 
 impl View {
+    fn new(entry: &Entry) -> Self {
+        Self {
+            heartbeats: entry.objects.mirror(HOLDER),
+            holders: Holders::default(),
+            known: BTreeMap::new(),
+            open: entry.objects.mirror(OPEN),
+        }
+    }
+
+    /// Reads the work first, so that the heartbeat of whoever holds some shows.
+    async fn refresh(&mut self) -> Result<(), Error> {
+        self.open.refresh().await?;
+        self.heartbeats.refresh().await?;
+        Ok(())
+    }
+
     async fn look(&mut self, entry: &Arc<Entry>) {
-        let Ok(listed) = entry.objects.list(LIVE).await else {
+        if self.refresh().await.is_err() {
             return;
-        };
+        }
         let now = entry.clock.now();
-        self.holders.look(now, listed.iter().filter_map(holder_of));
-        let mut open: Vec<_> = listed.iter().filter_map(open_of).collect();
+        let heartbeats = self.heartbeats.images().iter();
+        self.holders
+            .look(now, heartbeats.map(|(name, version)| (&**name, *version)));
+        let mut open: Vec<_> = ids(&self.open).collect();
         self.known
             .retain(|id, _| open.iter().any(|(open, _)| open == id));
         open.shuffle(&mut rand::rng());
@@ -131,21 +150,13 @@
             .holders
             .older(entry.clock.now(), LEASE * REMOVAL_LEASES);
         for (name, version) in dead {
-            let key = format!("{HOLDER}{name}");
+            let key = holder_key(name);
             // Another entry may have removed it, or its holder come back.
             let _ = entry.objects.delete(&key, version).await;
         }
     }
 }
 
-fn holder_of(listed: &Listed) -> Option<(&str, Version)> {
-    Some((listed.key.strip_prefix(HOLDER)?, listed.version))
-}
-
-fn open_of(listed: &Listed) -> Option<(WorkId, Version)> {
-    Some((id_of(&listed.key, OPEN)?, listed.version))
-}
-
 /// Gives work back, so that any entry may claim it.
 pub(super) async fn give_back(entry: &Entry, found: Found) -> bool {
     let work = Work {
--- a/almondwell/src/stored/sweep.rs
+++ b/almondwell/src/stored/sweep.rs
@@ -2,15 +2,16 @@
 
 use super::pickup::jittered;
 use super::run::ended;
-use super::{DONE, done_key, id_of, wall_time};
+use super::{DONE, done_key, ids, wall_time};
 use crate::entry::Entry;
+use almondwell_platform::Mirror;
 use almondwell_schema::{Version, WorkId};
 use async_std::task;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Longest time between two sweeps.
-const PERIOD: Duration = Duration::from_mins(1);
+/// Longest time between two sweeps; within it the store still has the changes since the last.
+const PERIOD: Duration = Duration::from_secs(10);
 /// Results read in one sweep at most.
 const MAX_READS: usize = 64;
 
@@ -21,20 +22,18 @@
 pub(super) async fn sweep_again(entry: &Entry) {
     let kept = entry.settings.work_kept;
     let mut times = Times::new();
+    let mut results = entry.objects.mirror(DONE);
     loop {
         task::sleep(jittered(PERIOD.min(kept))).await;
-        sweep(entry, &mut times, kept).await;
+        sweep(entry, &mut results, &mut times, kept).await;
     }
 }
 
-async fn sweep(entry: &Entry, times: &mut Times, kept: Duration) {
-    let Ok(listed) = entry.objects.list(DONE).await else {
+async fn sweep(entry: &Entry, results: &mut Mirror<Version>, times: &mut Times, kept: Duration) {
+    if results.refresh().await.is_err() {
         return;
-    };
-    let done: Vec<_> = listed
-        .iter()
-        .filter_map(|listed| Some((id_of(&listed.key, DONE)?, listed.version)))
-        .collect();
+    }
+    let done: Vec<_> = ids(results).collect();
     times.retain(|name, _| done.binary_search(name).is_ok());
     let unknown = done.iter().filter(|name| !times.contains_key(name));
     let unknown: Vec<_> = unknown.take(MAX_READS).copied().collect();
--- a/bench/src/capacity.rs
+++ b/bench/src/capacity.rs
@@ -137,7 +137,7 @@
 
     fn platform(fits: &Fits<'_>) -> Vec<Row> {
         let bookings = REQUESTS * BOOKING_SHARE;
-        let row = Row::of("object API");
+        let row = Row::of("store");
         vec![
             row.given("calls that may run once", bookings, "/s"),
             row.limited(
--- a/bench/src/ledger.rs
+++ b/bench/src/ledger.rs
@@ -1,4 +1,4 @@
-//! Calls to the object API that the ledger and stored work cost.
+//! Calls to the store that the ledger and stored work cost.
 
 use crate::series::Series;
 use crate::target::{self, Target};
--- a/configuration/src/node.rs
+++ b/configuration/src/node.rs
@@ -18,7 +18,7 @@
     /// Takes over instances that a peer told of, while the instance list cannot be read.
     fn learn(&self, instances: Vec<Instance>);
 
-    /// The object API.
+    /// The store.
     fn objects(&self) -> &Objects;
 
     /// Control addresses of processes to exchange versions with.
@@ -33,6 +33,6 @@
     /// Sends a datagram, which may get lost.
     fn send(&self, datagram: Datagram, to: SocketAddr) -> impl Future<Output = ()> + Send;
 
-    /// Whether this process is one of those that watch the object API.
+    /// Whether this process is one of those that watch the store.
     fn watches(&self) -> bool;
 }
--- a/configuration/src/watch.rs
+++ b/configuration/src/watch.rs
@@ -1,7 +1,8 @@
-//! Watches the object API for a new configuration.
+//! Watches the store for a new configuration.
 
 use crate::replica::offer;
 use crate::{KEY, Node, gossip};
+use almondwell_platform::store::Revision;
 use almondwell_platform::{Error, Object};
 use async_std::future::timeout;
 use async_std::task;
@@ -17,15 +18,18 @@
 const IDLE_LEAST: Duration = Duration::from_secs(20);
 const IDLE_MOST: Duration = Duration::from_secs(40);
 
-/// Follows the object API until the process ends.
+/// Follows the store until the process ends.
 pub async fn run(node: &impl Node) {
+    let mut from = 0;
+    let mut is_lost = false;
     loop {
         let is_watcher = node.watches() || node.replica().version() == 0;
         let object = if is_watcher {
-            watch(node).await
+            watch(node, &mut from).await
         } else {
-            read(node).await
+            read(node, &mut from).await
         };
+        note(node, &mut is_lost, &object);
         match object {
             Ok(Some(object)) => {
                 if offer(node, object.version, &object.value) {
@@ -45,18 +49,27 @@
     }
 }
 
-async fn watch(node: &impl Node) -> Result<Option<Object>, Error> {
+/// Logs when the store is lost and when it is back.
+fn note(node: &impl Node, is_lost: &mut bool, answer: &Result<Option<Object>, Error>) {
     let version = node.replica().version();
-    let watch = node.objects().watch(KEY, version, WATCH_TIME);
+    match answer {
+        Err(error) if !*is_lost => spdlog::warn!("store lost: {error}", kv: { version = version }),
+        Ok(_) if *is_lost => spdlog::info!("store back", kv: { version = version }),
+        Ok(_) | Err(_) => {}
+    }
+    *is_lost = answer.is_err();
+}
+
+async fn watch(node: &impl Node, from: &mut Revision) -> Result<Option<Object>, Error> {
+    let watch = node.objects().watch(KEY, from, WATCH_TIME);
     match timeout(WATCH_TIME + WATCH_GRACE, watch).await {
         Ok(object) => object,
         Err(_) => Err(Error::Lost("the watch was not answered in time".into())),
     }
 }
 
-async fn read(node: &impl Node) -> Result<Option<Object>, Error> {
-    let version = node.replica().version();
-    let read = node.objects().watch(KEY, version, Duration::ZERO);
+async fn read(node: &impl Node, from: &mut Revision) -> Result<Option<Object>, Error> {
+    let read = node.objects().watch(KEY, from, Duration::ZERO);
     match timeout(READ_TIMEOUT, read).await {
         Ok(object) => object,
         Err(_) => Err(Error::Lost("the read was not answered in time".into())),
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -1,4 +1,4 @@
-//! The ledger: calls that may run at most once, kept in shards of the object API.
+//! The ledger: calls that may run at most once, kept in shards of the store.
 //!
 //! A shard is a ring of segments and one checkpoint. Each segment is written on the condition that
 //! its slot still holds the segment one round older, so that of two holders only one wins a number.
--- a/core/src/ledger/step.rs
+++ b/core/src/ledger/step.rs
@@ -1,4 +1,4 @@
-//! What a shard asks of the object API, and what it is told.
+//! What a shard asks of the store, and what it is told.
 
 use almondwell_schema::Version;
 use std::time::Duration;
@@ -32,7 +32,7 @@
     },
 }
 
-/// How the object API answered a step.
+/// How the store answered a step.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Reply {
     /// A read found no object.
--- a/core/src/stored.rs
+++ b/core/src/stored.rs
@@ -28,7 +28,7 @@
 }
 
 impl Holders {
-    /// Takes in all heartbeats that the object API lists at `now`.
+    /// Takes in all heartbeats that the store lists at `now`.
     pub fn look<'a>(&mut self, now: Duration, listed: impl Iterator<Item = (&'a str, Version)>) {
         let is_late = now.saturating_sub(self.looked) > MAX_GAP;
         self.looked = now;
--- a/fakes/src/trial.rs
+++ b/fakes/src/trial.rs
@@ -60,7 +60,7 @@
     pub elapsed: Duration,
     /// Recovery after each kind of kill.
     pub recoveries: Vec<Recovery>,
-    /// Object API calls while under faults, as its stand-in counted them.
+    /// Store calls while under faults, as its stand-in counted them.
     pub store: Value,
     /// Calls of all kinds.
     pub requests: u64,
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -9,7 +9,7 @@
 pub type RequestId = u128;
 /// Number of one grant at one side.
 pub type Ticket = u64;
-/// Version of an object in the object API.
+/// Version of an object in the store.
 pub type Version = u64;
 /// Number of one run of a process, drawn at its start.
 pub type Epoch = u64;
@@ -514,7 +514,7 @@
     /// Time until it is forgotten.
     pub left: Duration,
 }
-/// All suspects, as the object API keeps them.
+/// All suspects, as the store keeps them.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Suspects {
     /// Time since the Unix epoch at which it was written.
@@ -968,7 +968,7 @@
     pub control: SocketAddr,
     /// Address for health, metrics and reports.
     pub admin: SocketAddr,
-    /// Address of the object API and instance list.
+    /// Address of the platform's store.
     pub platform: SocketAddr,
     /// Key that seals traffic between almondwell processes.
     pub secret: Box<str>,
@@ -1067,7 +1067,7 @@
         Key {
             name: "platform",
             default: "127.0.0.1:8000",
-            description: "Address of the object API and instance list.",
+            description: "Address of the platform's store.",
         },
         Key {
             name: "secret",
@@ -1500,7 +1500,7 @@
     pub control: SocketAddr,
     /// Address for health and metrics.
     pub admin: SocketAddr,
-    /// Address of the object API and instance list.
+    /// Address of the platform's store.
     pub platform: SocketAddr,
     /// Address of the upstream.
     pub upstream: SocketAddr,
@@ -1575,7 +1575,7 @@
         Key {
             name: "platform",
             default: "127.0.0.1:8000",
-            description: "Address of the object API and instance list.",
+            description: "Address of the platform's store.",
         },
         Key {
             name: "upstream",
--- a/side/src/ledger/driver.rs
+++ b/side/src/ledger/driver.rs
@@ -1,4 +1,4 @@
-//! Carries out a shard's steps at the object API, one at a time.
+//! Carries out a shard's steps at the store, one at a time.
 
 use super::Held;
 use almondwell_core::ledger::Step;
--- a/side/src/ledger/held.rs
+++ b/side/src/ledger/held.rs
@@ -1,4 +1,4 @@
-//! One shard, its driver's signals and its place in the object API.
+//! One shard, its driver's signals and its place in the store.
 
 use super::{Ledger, Name};
 use almondwell_core::ledger::{Call, Reply, Shard, Standing};
@@ -107,9 +107,9 @@
     }
 }
 
-/// `service` as a part of an object's key.
+/// `service` as a part of an object's key; no two services share one.
 fn path_part(service: &str) -> String {
-    let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_';
+    let is_plain = |byte: u8| byte.is_ascii_alphanumeric();
     service
         .bytes()
         .map(|byte| {
--- a/side/src/upstream.rs
+++ b/side/src/upstream.rs
@@ -16,7 +16,7 @@
 /// Runs `run` at the upstream and writes its answer to `connection`.
 pub(crate) async fn call(side: &Side, connection: &mut impl Sink, run: &Run) -> Result<(), Error> {
     if side.settings.fenced && side.order.number().is_none() {
-        let detail = "the side has no fencing number yet; the object API does not answer";
+        let detail = "the side has no fencing number yet; the store does not answer";
         return fail(connection, Verdict::NotRun, detail, Vec::new()).await;
     }
     let stay = match quarantine::admit(side, run).await {
