Say that the store is back only once it was read, and wait briefly at a store that has just failed

Cause, from the entry's log: the store dropped its history and cut the watches (8.2 s). The watch that followed was answered only at the end of its wait, 4 s later, that the history is gone; with this answer the entry counted the store as regained and its configuration as current, 37 ms before it had read the new one, and so refused the key instead of putting it off.

Ruled out: a lost datagram between entries (all followed the same store and were as late), the decoding of the configuration (the next list read it).

Change: the configuration counts as current only when there is a revision to go on from; for the time of undisturbed running after a failed call a watch waits 0.5 s instead of 4 s.

--- a/router/src/follow.rs
+++ b/router/src/follow.rs
@@ -16,26 +16,33 @@
 const GATHER: Duration = Duration::from_millis(400);
 /// Failures in a row from which the store counts as lost; one alone may be a watch that was cut.
 const OUTAGE_FAILURES: u32 = 2;
+/// Wait of a watch for a while after a call failed: a store in trouble may not tell watches of changes,
+/// and this many fit into the time within which a change has to be known.
+const UNSETTLED_WAIT: Duration = Duration::from_millis(500);
 /// Period in which held removals are looked at.
 const EXPIRY_PERIOD: Duration = Duration::from_millis(250);
 
 /// Follows one kind of objects for ever.
 pub(crate) async fn follow(router: Arc<Router>, kind: Kind) {
     let mut failures = 0;
+    let mut failed: Option<Instant> = None;
     let mut from: Option<Revision> = None;
     loop {
         let start = Instant::now();
-        match step(&router, kind, from).await {
+        let wait = wait(&router, failed);
+        match step(&router, kind, from, wait).await {
             Ok(next) => {
                 failures = 0;
                 from = next;
-                if kind == Kind::Configuration {
+                // Without a revision to go on from, what the store holds is still to be read.
+                if kind == Kind::Configuration && from.is_some() {
                     router.set_current(true);
                 }
             }
             Err(error) => {
                 failures += 1;
-                let is_silent = start.elapsed() > wait(&router);
+                failed = Some(Instant::now());
+                let is_silent = start.elapsed() > wait;
                 if failures >= OUTAGE_FAILURES || is_silent || matches!(error, Error::Down(_)) {
                     lost(&router, kind, &error);
                 }
@@ -58,10 +65,16 @@
     });
 }
 
-/// Wait of a watch: no longer than the platform lets a silent connection go unnoticed. Keep-alive probes
-/// mostly notice it before, and other entries tell of a newer configuration.
-fn wait(router: &Router) -> Duration {
-    router.settings.contact
+/// Wait of a watch, after the last call that failed.
+///
+/// No longer than the platform lets a silent connection go unnoticed. Keep-alive probes mostly notice it
+/// before, and other entries tell of a newer configuration.
+fn wait(router: &Router, failed: Option<Instant>) -> Duration {
+    let contact = router.settings.contact;
+    match failed {
+        Some(failed) if failed.elapsed() < contact => UNSETTLED_WAIT,
+        Some(_) | None => contact,
+    }
 }
 
 /// Lists, or waits for the next changes; returns the revision to go on from.
@@ -69,6 +82,7 @@
     router: &Router,
     kind: Kind,
     from: Option<Revision>,
+    wait: Duration,
 ) -> Result<Option<Revision>, Error> {
     let Some(from) = from else {
         let (items, at) = router.store.list(kind).await?;
@@ -76,7 +90,7 @@
         known(router, kind, at);
         return Ok(Some(at));
     };
-    match router.store.watch(kind, from, wait(router)).await? {
+    match router.store.watch(kind, from, wait).await? {
         Watched::Events(events, at) => {
             for event in &events {
                 changed(router, kind, event);
