Take hashes from one place, and a list of upstreams with its source

Cause: the first bytes of a hash were taken in six places (placement, membership, ledger, calls' fingerprints, crash identifiers, jobs), in four ways of joining the parts; `Fleet::learn` called `replace` with a time of zero and then undid the holds.

Change: `core::hash` joins parts with their lengths; `Fleet::replace` takes the source of the list and looks missing upstreams up in a set (it compared each with each).

Ruled out: keeping the old joins so that homes stay where they are; homes move once with the upgrade.

--- a/almondwell/src/chat.rs
+++ b/almondwell/src/chat.rs
@@ -3,8 +3,9 @@
 use crate::catalog::Catalog;
 use crate::entry::Entry;
 use crate::headers;
-use crate::job::{self, Job, hash};
+use crate::job::{self, Job};
 use crate::refusal::Refusal;
+use almondwell_core::hash;
 use almondwell_schema::RequestId;
 use http_types::{Request, StatusCode};
 use serde_json::Value;
@@ -39,7 +40,10 @@
         ));
     };
     let messages = prompt["messages"].to_string();
-    let prefix = messages.as_bytes().get(..PREFIX).map_or(0, hash);
+    let prefix = messages
+        .as_bytes()
+        .get(..PREFIX)
+        .map_or(0, |prefix| hash::number(&[prefix]));
     let class = headers::value(request, headers::CLASS).unwrap_or(&service.class);
     let job = job::new(entry, request, service, class, id, body)?;
     Ok(Job {
--- a/almondwell/src/job.rs
+++ b/almondwell/src/job.rs
@@ -4,6 +4,7 @@
 use crate::entry::Entry;
 use crate::headers;
 use crate::refusal::Refusal;
+use almondwell_core::hash;
 use almondwell_schema::{Class, Header, RequestId, Service, Workspace};
 use http_types::{Request, StatusCode};
 use std::sync::Arc;
@@ -66,7 +67,7 @@
         class: class.clone(),
         class_name: class_name.into(),
         deadline: arrived + limit,
-        fingerprint: hash(&body),
+        fingerprint: hash::number(&[&body]),
         body,
         headers: headers::forwarded(request),
         key: headers::value(request, headers::IDEMPOTENCY_KEY).map(Into::into),
@@ -78,11 +79,3 @@
         workspace_name: workspace_name.into(),
     })
 }
-
-/// First eight bytes of the hash of `bytes`.
-pub(crate) fn hash(bytes: &[u8]) -> u64 {
-    let hash = blake3::hash(bytes);
-    let mut first = [0; size_of::<u64>()];
-    first.copy_from_slice(&hash.as_bytes()[..size_of::<u64>()]);
-    u64::from_le_bytes(first)
-}
--- a/almondwell/src/once.rs
+++ b/almondwell/src/once.rs
@@ -7,11 +7,12 @@
 use crate::answer::Answer;
 use crate::call;
 use crate::entry::Entry;
-use crate::job::{Job, hash};
+use crate::job::Job;
 use crate::refusal::{EXPIRED, FULL, INTERRUPTED, Refusal, STORE_DOWN};
 use crate::reserve::reservation;
 use crate::sides::Ranked;
 use crate::vacancy;
+use almondwell_core::hash;
 use almondwell_core::ledger::{call_key, shard_of};
 use almondwell_schema::{Datagram, Ticket, Verdict, Withdraw};
 use async_std::future::timeout;
@@ -107,7 +108,7 @@
 }
 
 fn weight(service: &str, shard: u16, side: &str) -> u64 {
-    hash(format!("{service}/{shard}/{side}").as_bytes())
+    hash::number(&[service.as_bytes(), &shard.to_le_bytes(), side.as_bytes()])
 }
 
 /// Asks `side` for a place and runs `job` there; `None` when it gives none.
--- a/almondwell/src/stored/run.rs
+++ b/almondwell/src/stored/run.rs
@@ -6,8 +6,9 @@
 use crate::answer::Answer;
 use crate::dispatch::dispatch;
 use crate::entry::Entry;
-use crate::job::{Job, hash};
+use crate::job::Job;
 use crate::refusal::Refusal;
+use almondwell_core::hash;
 use almondwell_platform::Expect;
 use almondwell_schema::{Ended, Ending, Kept, Refused, Verdict, Work};
 use async_std::io::ReadExt;
@@ -136,7 +137,7 @@
         class: class.clone(),
         class_name: work.class.clone(),
         deadline: arrived + class.deadline,
-        fingerprint: hash(&work.body),
+        fingerprint: hash::number(&[&work.body]),
         headers: work.headers.clone(),
         key: Some(key),
         path: work.path.clone(),
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -5,7 +5,7 @@
 //! back for a moment: the upstream serves on for longer than that, be it lapsed or leaving.
 
 use crate::upstream::{State, Upstream, UpstreamId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Times of a fleet.
@@ -43,6 +43,15 @@
     Removed,
 }
 
+/// Who gave a list of upstreams.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// Another entry, which reaches the store and has held back lapses itself.
+    Entry,
+    /// The store.
+    Store,
+}
+
 /// Upstreams by identifier.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -95,39 +104,34 @@
     }
 
     /// Takes in a whole list; returns what changed.
-    pub fn replace(&mut self, now: Duration, list: Vec<Upstream>) -> Vec<(UpstreamId, Change)> {
-        let missing: Vec<_> = self
-            .upstreams
-            .keys()
-            .filter(|id| !list.iter().any(|upstream| upstream.id == **id))
-            .cloned()
-            .collect();
+    pub fn replace(
+        &mut self,
+        now: Duration,
+        source: Source,
+        list: Vec<Upstream>,
+    ) -> Vec<(UpstreamId, Change)> {
+        let listed: BTreeSet<_> = list.iter().map(|upstream| upstream.id.clone()).collect();
+        let known = self.upstreams.keys();
+        let missing: Vec<_> = known.filter(|id| !listed.contains(*id)).cloned().collect();
         let mut changes = Vec::new();
         for upstream in list {
             let id = upstream.id.clone();
             changes.push((id, self.put(upstream)));
         }
         for id in missing {
-            let change = self.remove(now, &id);
+            let change = match source {
+                Source::Entry => {
+                    self.forget(&id);
+                    Change::Removed
+                }
+                Source::Store => self.remove(now, &id),
+            };
             changes.push((id, change));
         }
         changes.retain(|(_, change)| *change != Change::None);
         changes
     }
 
-    /// Takes in the whole list of an entry that reaches the store and has held back lapses itself; returns
-    /// what changed.
-    pub fn learn(&mut self, list: Vec<Upstream>) -> Vec<(UpstreamId, Change)> {
-        let mut changes = self.replace(Duration::ZERO, list);
-        for (id, change) in &mut changes {
-            if *change == Change::Held {
-                self.forget(id);
-                *change = Change::Removed;
-            }
-        }
-        changes
-    }
-
     /// Removes what has not come back; returns it.
     pub fn expire(&mut self, now: Duration) -> Vec<UpstreamId> {
         let due: Vec<_> = self
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -15,6 +15,7 @@
 pub(crate) use book::Book;
 pub(crate) use entry::{Entry, Phase};
 
+use crate::hash;
 use almondwell_schema::CallKey;
 use std::time::Duration;
 
@@ -29,24 +30,12 @@
 
 /// Key of a call of `workspace` to `service`.
 pub fn call_key(service: &str, workspace: &str, key: &str) -> CallKey {
-    CallKey::from_le_bytes(hash([service, workspace, key].map(str::as_bytes)))
+    CallKey::from_le_bytes(hash::bytes(&[service, workspace, key].map(str::as_bytes)))
 }
 
 /// Hash of what makes two calls with one key the same call.
 pub fn digest(class: &str, path: &str, body: &[u8]) -> u64 {
-    u64::from_le_bytes(hash([class.as_bytes(), path.as_bytes(), body]))
-}
-
-/// First bytes of the hash of `parts`, each with its length.
-fn hash<const N: usize>(parts: [&[u8]; 3]) -> [u8; N] {
-    let mut hasher = blake3::Hasher::new();
-    for part in parts {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
-    }
-    let mut first = [0; N];
-    first.copy_from_slice(&hasher.finalize().as_bytes()[..N]);
-    first
+    hash::number(&[class.as_bytes(), path.as_bytes(), body])
 }
 
 /// Shard that keeps `key`.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -8,6 +8,7 @@
 mod directory;
 pub mod fleet;
 mod flow;
+pub mod hash;
 pub mod job;
 mod lane;
 pub mod ledger;
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -4,6 +4,7 @@
 //! entries agree on it without a word. They leave it when the wait there outweighs the cost of reading the
 //! shared parts elsewhere. Requests to plain services go where least is waiting.
 
+use crate::hash;
 use crate::job::PartId;
 use std::time::Duration;
 
@@ -155,19 +156,10 @@
 
 /// Place of an upstream in an order that all entries agree on.
 pub fn rank(id: &str) -> u64 {
-    first_bytes(blake3::hash(id.as_bytes()))
+    hash::number(&[id.as_bytes()])
 }
 
 /// Weight of an upstream for a home: the highest weight wins.
 fn weight(home: PartId, id: &str) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(&home.to_le_bytes());
-    hasher.update(id.as_bytes());
-    first_bytes(hasher.finalize())
-}
-
-fn first_bytes(hash: blake3::Hash) -> u64 {
-    let mut first = [0; 8];
-    first.copy_from_slice(&hash.as_bytes()[..8]);
-    u64::from_le_bytes(first)
+    hash::number(&[&home.to_le_bytes(), id.as_bytes()])
 }
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! Registrations that come, drain, lapse and go.
 
-use almondwell_core::fleet::{Change, Fleet, Options};
+use almondwell_core::fleet::{Change, Fleet, Options, Source};
 use almondwell_core::upstream::{State, Upstream};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -88,7 +88,11 @@
 #[test]
 fn a_list_of_another_entry_counts_at_once() {
     let mut fleet = fleet(&["i-a", "i-b"]);
-    let changes = fleet.learn(vec![upstream("i-b", State::Ready)]);
+    let changes = fleet.replace(
+        Duration::ZERO,
+        Source::Entry,
+        vec![upstream("i-b", State::Ready)],
+    );
     assert_eq!(changes, [("i-a".into(), Change::Removed)]);
     assert_eq!(ready(&fleet), ["i-b"]);
 }
--- a/router/src/crash.rs
+++ b/router/src/crash.rs
@@ -5,6 +5,7 @@
 use crate::peers;
 use crate::request::Request;
 use crate::router::Router;
+use almondwell_core::hash;
 use almondwell_core::quarantine::Quarantine;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
@@ -32,7 +33,7 @@
         if matches!(timeout(CONNECT_TIMEOUT, connect).await, Ok(Ok(_))) {
             return;
         }
-        let id = crash_id(&attempt, &backend.upstream.id);
+        let id = hash::number(&[attempt.as_bytes(), backend.upstream.id.as_bytes()]);
         let suspect = lock(&router).crashed(router.now(), fingerprint, id, false);
         spdlog::warn!("upstream crashed under a request", kv: {
             request = attempt.as_ref(), upstream = backend.upstream.id.as_ref(),
@@ -48,12 +49,3 @@
         .lock()
         .unwrap_or_else(PoisonError::into_inner)
 }
-
-fn crash_id(attempt: &str, upstream: &str) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(attempt.as_bytes());
-    hasher.update(upstream.as_bytes());
-    let mut first = [0; 8];
-    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    u64::from_le_bytes(first)
-}
--- a/router/src/dispatch.rs
+++ b/router/src/dispatch.rs
@@ -5,6 +5,7 @@
 use crate::refusal::{Reason, Refusal};
 use crate::request::Request;
 use crate::router::{Router, milliseconds};
+use almondwell_core::hash;
 use almondwell_core::quarantine::Treatment;
 use almondwell_core::table::{Route, Workspace};
 use almondwell_daemon::gone;
@@ -214,16 +215,9 @@
 
 /// Hash of what stays the same when a caller sends a request again.
 fn fingerprint(request: &Request) -> Fingerprint {
-    let mut hasher = blake3::Hasher::new();
     let key = request.job.key.as_deref().unwrap_or_default();
-    for part in [&request.host, &request.target, key] {
-        hasher.update(part.as_bytes());
-        hasher.update(&[0]);
-    }
-    hasher.update(&request.body);
-    let mut first = [0; 8];
-    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    u64::from_le_bytes(first)
+    let parts = [&request.host, &request.target, key].map(str::as_bytes);
+    hash::number(&[parts[0], parts[1], parts[2], &request.body])
 }
 
 fn log(
--- a/router/src/follow.rs
+++ b/router/src/follow.rs
@@ -1,7 +1,7 @@
 //! Follows the configuration and the registrations of upstreams in the platform's store.
 
 use crate::router::Router;
-use almondwell_core::fleet::Change;
+use almondwell_core::fleet::{Change, Source};
 use almondwell_platform::store::{Event, Item, Kind, Revision, Watched};
 use almondwell_platform::{Error, decode};
 use async_std::task;
@@ -122,7 +122,7 @@
         Kind::Configuration => items.iter().for_each(|item| configured(router, item)),
         Kind::Upstreams => {
             let upstreams = items.iter().filter_map(upstream).collect();
-            router.change(|fleet, now| fleet.replace(now, upstreams));
+            router.change(|fleet, now| fleet.replace(now, Source::Store, upstreams));
         }
     }
 }
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -3,6 +3,7 @@
 
 use crate::crash;
 use crate::router::Router;
+use almondwell_core::fleet::Source;
 use almondwell_core::upstream::{State, Upstream};
 use almondwell_platform::decode;
 use almondwell_schema::{Ask, Datagram, Digest, Frame, Held, Registration, Suspect};
@@ -194,7 +195,7 @@
     if !router.is_current() && held.revision > router.revision() {
         router.set_revision(held.revision);
         let upstreams = held.upstreams.into_iter().map(upstream).collect();
-        router.change(|fleet, _| fleet.learn(upstreams));
+        router.change(|fleet, now| fleet.replace(now, Source::Entry, upstreams));
     }
 }
 
