Rank requests by workspace and route together, and let the patient yield at a crest

(2) A request bears a wait of 0.7 of its target. At a crest the wait stays where the class with the longest target is just let in, and shorter targets are refused.

Change: `Table::rank` orders by workspace, then route, and engines are told that. `core::precedence`: for 5 s after a more urgent request was refused, a less urgent one bears half of that one's wait.

Ruled out: the reports' lag (the refusing entries saw the engines' waits from their own streams), preemption (none).

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -20,6 +20,7 @@
 mod pace;
 pub mod peers;
 pub mod placement;
+pub mod precedence;
 pub mod quarantine;
 mod queue;
 mod rate;
--- a/core/src/table.rs
+++ b/core/src/table.rs
@@ -7,13 +7,20 @@
 /// Version of a table; grows with each change.
 pub type Version = u64;
 
+/// Urgency of a request; 0 is the most urgent.
+pub type Rank = u8;
+
 /// Configuration of all routes, services and workspaces in one version.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     /// Workspaces by the key that their callers send.
-    pub keys: BTreeMap<Box<str>, Arc<Workspace>>,
+    keys: BTreeMap<Box<str>, Arc<Workspace>>,
     /// Limits on what callers may send.
     pub limits: Limits,
+    /// Rank of the least urgent workspace.
+    last_workspace: Rank,
+    /// Number of ranks that routes have.
+    route_ranks: Rank,
     /// Routes by host, the longest prefix first.
     routes: BTreeMap<Box<str>, Vec<Arc<Route>>>,
     /// Services by name.
@@ -76,8 +83,8 @@
     pub name: Box<str>,
     /// Start of the paths that it serves.
     pub prefix: Box<str>,
-    /// Rank; 0 is the highest.
-    pub priority: u8,
+    /// Rank among the routes.
+    pub priority: Rank,
     /// What may be repeated.
     pub repeat: Repeat,
     /// Time in which an answer is on time.
@@ -126,8 +133,8 @@
 pub struct Workspace {
     /// Name that upstreams see.
     pub name: Box<str>,
-    /// Rank that goes before the route's.
-    pub priority: Option<u8>,
+    /// Rank among the workspaces; it goes before the route's, which decides among equals.
+    pub priority: Option<Rank>,
 }
 
 impl Table {
@@ -141,11 +148,31 @@
 
     /// Adds a route.
     pub fn add(&mut self, route: Route) {
+        self.route_ranks = self.route_ranks.max(route.priority.saturating_add(1));
         let routes = self.routes.entry(route.host.clone()).or_default();
         let place = routes.partition_point(|other| other.prefix.len() >= route.prefix.len());
         routes.insert(place, Arc::new(route));
     }
 
+    /// Adds a workspace with the keys of its callers.
+    pub fn add_workspace(
+        &mut self,
+        workspace: Workspace,
+        keys: impl IntoIterator<Item = Box<str>>,
+    ) {
+        let rank = workspace.priority.unwrap_or(0);
+        self.last_workspace = self.last_workspace.max(rank);
+        let workspace = Arc::new(workspace);
+        for key in keys {
+            self.keys.insert(key, workspace.clone());
+        }
+    }
+
+    /// Workspaces by the key that their callers send.
+    pub const fn keys(&self) -> &BTreeMap<Box<str>, Arc<Workspace>> {
+        &self.keys
+    }
+
     /// The route with the longest prefix of `path` on `host`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         self.routes
@@ -154,6 +181,16 @@
             .find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Urgency of a request from `workspace` on `route`: first by the workspace, then by the route. A
+    /// workspace without a rank stands with the last.
+    pub fn rank(&self, workspace: Option<&Workspace>, route: &Route) -> Rank {
+        workspace
+            .and_then(|workspace| workspace.priority)
+            .unwrap_or(self.last_workspace)
+            .saturating_mul(self.route_ranks)
+            .saturating_add(route.priority)
+    }
+
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- /dev/null
+++ b/core/tests/table.rs
@@ -0,0 +1,71 @@
+//! Routes and ranks of a table.
+
+use almondwell_core::table::{Repeat, Route, Table, Workspace};
+use std::time::Duration;
+
+fn route(name: &str, prefix: &str, priority: u8) -> Route {
+    Route {
+        attempts: 1,
+        backends: vec![("pool".into(), 1)],
+        gap: None,
+        host: "a.example".into(),
+        is_public: false,
+        is_stream: true,
+        name: name.into(),
+        prefix: prefix.into(),
+        priority,
+        repeat: Repeat::Never,
+        target: Duration::from_secs(1),
+        timeout: Duration::from_secs(5),
+    }
+}
+
+fn workspace(name: &str, priority: Option<u8>) -> Workspace {
+    Workspace {
+        name: name.into(),
+        priority,
+    }
+}
+
+fn table() -> Table {
+    let mut table = Table::new(1);
+    table.add(route("reply", "/", 0));
+    table.add(route("review", "/review/", 2));
+    table.add_workspace(workspace("first", Some(0)), ["k0".into()]);
+    table.add_workspace(workspace("second", Some(1)), ["k1".into()]);
+    table.add_workspace(workspace("unranked", None), ["k2".into()]);
+    table
+}
+
+fn rank(table: &Table, key: Option<&str>, path: &str) -> u8 {
+    let workspace = key.and_then(|key| table.keys().get(key));
+    let route = table.route("a.example", path).expect("a route");
+    table.rank(workspace.map(|workspace| &**workspace), route)
+}
+
+macro_rules! cases {
+    ($($name:ident: ($key:expr, $path:literal) $order:tt ($other_key:expr, $other_path:literal);)*) => {
+        $(#[test]
+        fn $name() {
+            let table = table();
+            let rank = |key, path| rank(&table, key, path);
+            assert!(rank($key, $path) $order rank($other_key, $other_path));
+        })*
+    };
+}
+
+cases! {
+    routes_decide_between_equal_workspaces: (Some("k1"), "/x") < (Some("k1"), "/review/x");
+    a_workspace_goes_before_any_route: (Some("k0"), "/review/x") < (Some("k1"), "/x");
+    a_workspace_without_a_rank_stands_with_the_last: (Some("k2"), "/x") == (Some("k1"), "/x");
+    a_caller_without_a_workspace_stands_with_the_last: (None, "/review/x") == (Some("k1"), "/review/x");
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let table = table();
+    let name = |path| table.route("a.example", path).map(|route| &*route.name);
+    assert_eq!(name("/review/1"), Some("review"));
+    assert_eq!(name("/reviews"), Some("reply"));
+    assert_eq!(table.len(), 2);
+}
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -4,7 +4,7 @@
 use crate::backend::Backend;
 use crate::channel::{Broken, Channel};
 use crate::dispatch::{Admitted, Ending, Progress, after_crest, comeback};
-use crate::place::{Place, place};
+use crate::place::{Place, own_limit, place};
 use crate::refusal::{Reason, Refusal};
 use crate::relay::{self, Relayed};
 use crate::request::{MAX_HEADERS, Request};
@@ -270,7 +270,7 @@
         Envelope {
             deadline: remaining(delivery),
             last_event,
-            priority: request.job.model.is_some().then_some(admitted.priority),
+            rank: request.job.model.is_some().then_some(admitted.rank),
             upstream: &backend.upstream.id,
             workspace: admitted
                 .workspace
@@ -296,10 +296,17 @@
 
 /// Refuses a request that would wait for too long.
 fn refuse_full(delivery: Delivery<'_>, wait: Duration) -> Ending {
-    let request = delivery.request;
+    let Delivery {
+        admitted, request, ..
+    } = delivery;
+    let limit = own_limit(delivery);
+    delivery
+        .router
+        .refused(&admitted.service, admitted.rank, limit);
     spdlog::info!("no engine soon enough", kv: {
         request = attempt(request), wait_ms = milliseconds(wait),
-        target_ms = milliseconds(delivery.admitted.route.target)
+        rank = admitted.rank, limit_ms = milliseconds(limit),
+        target_ms = milliseconds(admitted.route.target)
     });
     let left = remaining(delivery);
     Ending::Refused(Refusal::later(Reason::UpstreamsFull, after_crest(left)))
--- a/router/src/dispatch.rs
+++ b/router/src/dispatch.rs
@@ -7,7 +7,7 @@
 use crate::router::{Router, milliseconds};
 use almondwell_core::hash;
 use almondwell_core::quarantine::Treatment;
-use almondwell_core::table::{Route, Workspace};
+use almondwell_core::table::{Rank, Route, Workspace};
 use almondwell_daemon::gone;
 use almondwell_schema::{Fingerprint, Verdict};
 use async_std::net::TcpStream;
@@ -44,7 +44,7 @@
     pub(crate) band: Option<Range<usize>>,
     pub(crate) deadline: Duration,
     pub(crate) fingerprint: Fingerprint,
-    pub(crate) priority: u8,
+    pub(crate) rank: Rank,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Box<str>,
     pub(crate) workspace: Option<Arc<Workspace>>,
@@ -180,8 +180,8 @@
     if job.attempt.is_none() {
         return Err(Refusal::invalid(400, Reason::Malformed));
     }
-    let workspace = job.key.as_ref().and_then(|key| table.keys.get(key));
-    if workspace.is_none() && !route.is_public && !table.keys.is_empty() {
+    let workspace = job.key.as_ref().and_then(|key| table.keys().get(key));
+    if workspace.is_none() && !route.is_public && !table.keys().is_empty() {
         return Err(unknown(401, Reason::UnknownKey));
     }
     let service = route
@@ -204,9 +204,7 @@
         band,
         deadline: job.deadline.unwrap_or(route.timeout).min(route.timeout),
         fingerprint,
-        priority: workspace
-            .and_then(|workspace| workspace.priority)
-            .unwrap_or(route.priority),
+        rank: table.rank(workspace.map(|workspace| &**workspace), route),
         route: route.clone(),
         service: service.into(),
         workspace: workspace.cloned(),
--- a/router/src/place.rs
+++ b/router/src/place.rs
@@ -28,22 +28,43 @@
         return Place::None;
     };
     let Some(band) = delivery.admitted.band.clone() else {
-        return place_among(delivery, trail, backends);
+        return place_among(delivery, trail, None, backends);
     };
+    let limit = limit(delivery);
     let own = backends.get(band.clone()).unwrap_or(backends);
     // The bands after it belong to requests that bear longer pauses than it brings them.
     let wider = backends.get(band.end..).unwrap_or_default();
-    match place_among(delivery, trail, own) {
+    let among = |backends| place_among(delivery, trail, Some(limit), backends);
+    match among(own) {
         Place::At(backend) => Place::At(backend),
-        Place::Full(wait) => match place_among(delivery, trail, wider) {
+        Place::Full(wait) => match among(wider) {
             Place::At(backend) => Place::At(backend),
             Place::Full(_) | Place::None => Place::Full(wait),
         },
-        Place::None => place_among(delivery, trail, backends),
+        Place::None => among(backends),
     }
 }
 
-fn place_among(delivery: Delivery<'_>, trail: &Trail, backends: &[Arc<Backend>]) -> Place {
+/// Wait that the request bears by itself before its prompt is read.
+pub(crate) fn own_limit(delivery: Delivery<'_>) -> Duration {
+    delivery.admitted.route.target.mul_f64(FULL)
+}
+
+/// Longest wait that the request may bear now.
+fn limit(delivery: Delivery<'_>) -> Duration {
+    let Delivery {
+        admitted, router, ..
+    } = delivery;
+    let own = own_limit(delivery);
+    router.limit(&admitted.service, admitted.rank, own)
+}
+
+fn place_among(
+    delivery: Delivery<'_>,
+    trail: &Trail,
+    limit: Option<Duration>,
+    backends: &[Arc<Backend>],
+) -> Place {
     let Delivery {
         admitted,
         request,
@@ -86,7 +107,7 @@
         return Place::None;
     };
     let wait = candidates[index].wait;
-    if trail.sends == 0 && prompt.is_some() && wait > admitted.route.target.mul_f64(FULL) {
+    if trail.sends == 0 && limit.is_some_and(|limit| wait > limit) {
         return Place::Full(wait);
     }
     Place::At(left[index].clone())
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -8,9 +8,10 @@
 use almondwell_core::fleet::{self, Change, Fleet};
 use almondwell_core::peers::{self, Peers};
 use almondwell_core::placement;
+use almondwell_core::precedence::Precedence;
 use almondwell_core::quarantine::Quarantine;
 use almondwell_core::retries::{self, Retries};
-use almondwell_core::table::Table;
+use almondwell_core::table::{Rank, Table};
 use almondwell_core::upstream::{Upstream, UpstreamId};
 use almondwell_daemon::Clock;
 use almondwell_platform::Store;
@@ -45,6 +46,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) peers: Mutex<Peers<Digest>>,
     pub(crate) placement: placement::Options,
+    /// Refusals for want of room, by service.
+    precedence: Mutex<BTreeMap<Box<str>, Precedence>>,
     pub(crate) quarantine: Mutex<Quarantine>,
     ready: ArcSwap<Ready>,
     regions: BTreeMap<Box<str>, Box<str>>,
@@ -88,6 +91,7 @@
                 settings.seeds.clone(),
             )),
             placement: placement::Options::default(),
+            precedence: Mutex::default(),
             quarantine: Mutex::default(),
             ready: ArcSwap::default(),
             regions,
@@ -137,7 +141,7 @@
         };
         spdlog::info!("configuration read", kv: {
             source, version = table.version, held = held.unwrap_or(0),
-            routes = table.len(), keys = table.keys.len(), outcome
+            routes = table.len(), keys = table.keys().len(), outcome
         });
         if outcome == "kept" {
             return false;
@@ -303,6 +307,33 @@
         }
     }
 
+    /// Notes that a request to a service was refused for want of room, and the wait that it bore.
+    pub(crate) fn refused(&self, service: &str, rank: Rank, limit: Duration) {
+        let now = self.now();
+        let mut all = self.precedence();
+        if !all.contains_key(service) {
+            all.insert(service.into(), Precedence::default());
+        }
+        if let Some(precedence) = all.get_mut(service) {
+            precedence.refused(now, rank, limit);
+        }
+    }
+
+    /// Longest wait of a request to a service that by itself bears `own`.
+    pub(crate) fn limit(&self, service: &str, rank: Rank, own: Duration) -> Duration {
+        let now = self.now();
+        let precedence = self.precedence();
+        precedence
+            .get(service)
+            .map_or(own, |precedence| precedence.limit(now, rank, own))
+    }
+
+    fn precedence(&self) -> MutexGuard<'_, BTreeMap<Box<str>, Precedence>> {
+        self.precedence
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Notes a caller's request to a service.
     pub(crate) fn requested(&self, service: &str) {
         let now = self.now();
