Hold an old removal no longer than a lapse takes, and call a troubled store less often

The platform counts from the removal once the entry has been in touch for 4 s again.

Test: `a_removal_after_a_noticed_outage_is_held_for_a_lapse_only` fails without the change.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -98,7 +98,13 @@
             self.forget(id);
             return Change::Removed;
         }
-        let until = self.unsure_until.max(now + self.options.hold);
+        // After an outage that was noticed, only lapses are waited for: the removal may be old.
+        let hold = if now < self.unsure_until {
+            self.options.hold.min(self.options.lapse)
+        } else {
+            self.options.hold
+        };
+        let until = self.unsure_until.max(now + hold);
         self.held.entry(id.into()).or_insert(until);
         Change::Held
     }
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -96,3 +96,19 @@
     assert_eq!(changes, [("i-a".into(), Change::Removed)]);
     assert_eq!(ready(&fleet), ["i-b"]);
 }
+
+/// An entry that was cut off learns of a removal late: the platform's bound runs from the removal.
+#[test]
+fn a_removal_after_a_noticed_outage_is_held_for_a_lapse_only() {
+    let mut fleet = Fleet::new(Options {
+        hold: at(2800),
+        ..Options::default()
+    });
+    fleet.put(upstream("i-a", State::Ready));
+    fleet.outage(at(1000));
+    assert_eq!(fleet.remove(at(2900), "i-a"), Change::Held);
+    fleet.expire(at(4800));
+    assert_eq!(ready(&fleet), ["i-a"]);
+    fleet.expire(at(4900));
+    assert!(ready(&fleet).is_empty());
+}
--- a/router/src/follow.rs
+++ b/router/src/follow.rs
@@ -9,16 +9,19 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Shortest and longest pause after a failed call.
-const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(400));
+/// Longest pause after the second failed call in a row; doubled with each further one.
+const PAUSE: Duration = Duration::from_millis(250);
+/// Longest pause after any failed call: calls are paid for, but a machine that is back in touch has to know
+/// all changes within a few seconds.
+const PAUSE_MOST: Duration = Duration::from_secs(1);
 /// Pause after changes, so that those of a crowd come in one answer; a fraction of the time within which
 /// a change has to be known.
 const GATHER: Duration = Duration::from_millis(400);
 /// Failures in a row from which the store counts as lost; one alone may be a watch that was cut.
 const OUTAGE_FAILURES: u32 = 2;
 /// Wait of a watch for a while after a call failed: a store in trouble may not tell watches of changes,
-/// and this many fit into the time within which a change has to be known.
-const UNSETTLED_WAIT: Duration = Duration::from_millis(500);
+/// and two such waits fit into the time within which a change has to be known.
+const UNSETTLED_WAIT: Duration = Duration::from_secs(1);
 /// Period in which held removals are looked at.
 const EXPIRY_PERIOD: Duration = Duration::from_millis(250);
 
@@ -47,14 +50,21 @@
                     lost(&router, kind, &error);
                 }
                 if failures > 1 {
-                    let pause = rand::rng().random_range(PAUSE.0..PAUSE.1);
-                    task::sleep(pause).await;
+                    task::sleep(pause(failures)).await;
                 }
             }
         }
     }
 }
 
+/// Pause after so many failed calls in a row, drawn so that entries do not call together.
+fn pause(failures: u32) -> Duration {
+    let doubled = PAUSE.saturating_mul(1 << failures.saturating_sub(2).min(8));
+    doubled
+        .min(PAUSE_MOST)
+        .mul_f64(rand::rng().random_range(0.5..1.0))
+}
+
 fn lost(router: &Router, kind: Kind, error: &Error) {
     match kind {
         Kind::Configuration => router.set_current(false),
