--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -1,7 +1,7 @@
 //! Sends of one request to upstreams: which may follow which, and when the request is given up.
 
 use crate::answer::Head;
-use crate::backend::Backend;
+use crate::backend::{Backend, View, Wait};
 use crate::channel::{Broken, Channel};
 use crate::dispatch::{Admitted, Ending, Progress, after_crest, comeback};
 use crate::place::{Place, own_limit, place};
@@ -70,8 +70,8 @@
         ..Trail::default()
     };
     loop {
-        let backend = match place(delivery, &trail) {
-            Place::At(backend) => backend,
+        let (backend, view) = match place(delivery, &trail) {
+            Place::At(backend, view) => (backend, view),
             Place::Full(wait) => return refuse_full(delivery, wait),
             Place::None => return give_up(delivery, trail, Reason::NoUpstream).await,
         };
@@ -91,7 +91,11 @@
         if is_repeat {
             delivery.router.metrics.retries.inc();
         }
-        log_send(delivery, &trail, &backend, is_kept);
+        log_send(delivery, &trail, &backend, &view, is_kept);
+        if delivery.admitted.band.is_some() {
+            let progress = delivery.progress;
+            progress.wait(Some(enter(delivery, &backend, view.has_parts)));
+        }
         let sent = once(delivery, &mut trail, &backend, channel).await;
         log_outcome(delivery, &trail, &backend, &sent);
         match sent {
@@ -154,6 +158,15 @@
     }
 }
 
+/// Lets the request enter the backlog of an engine, with the tokens that are to be read there.
+fn enter(delivery: Delivery<'_>, backend: &Arc<Backend>, has_parts: bool) -> Wait {
+    let job = &delivery.request.job;
+    let work = job.work();
+    let tokens = work.own + if has_parts { 0 } else { work.shared };
+    let part = job.shared().last().map(|part| part.id);
+    backend.wait(delivery.router.now(), tokens, part)
+}
+
 /// Sends the request once.
 async fn once(
     delivery: Delivery<'_>,
@@ -162,21 +175,12 @@
     mut channel: Channel,
 ) -> Sent {
     let Delivery {
-        admitted,
         progress,
         request,
         router,
         ..
     } = delivery;
     let running = backend.run();
-    if admitted.band.is_some() {
-        let work = request.job.work();
-        let part = request.job.shared().last().map(|part| part.id);
-        let rate = router.rate(&admitted.service);
-        let keeps = backend.view(router.now(), part, rate).has_parts;
-        let tokens = work.own + if keeps { 0 } else { work.shared };
-        progress.wait(Some(backend.wait(router.now(), tokens, part)));
-    }
     let bytes = message(delivery, trail, backend);
     progress.set(Verdict::MayHaveRun);
     let head = match channel.exchange(&bytes, &request.method).await {
@@ -337,11 +341,7 @@
 }
 
 /// Logs where a request goes and what decided it.
-fn log_send(delivery: Delivery<'_>, trail: &Trail, backend: &Backend, is_kept: bool) {
-    let router = delivery.router;
-    let part = delivery.request.job.shared().last().map(|part| part.id);
-    let rate = router.rate(&delivery.admitted.service);
-    let view = backend.view(router.now(), part, rate);
+fn log_send(delivery: Delivery<'_>, trail: &Trail, backend: &Backend, view: &View, is_kept: bool) {
     spdlog::info!("request sent", kv: {
         request = attempt(delivery.request),
         upstream = backend.upstream.id.as_ref(),
--- a/router/src/place.rs
+++ b/router/src/place.rs
@@ -1,6 +1,6 @@
 //! Which upstream a send goes to, or why to none.
 
-use crate::backend::Backend;
+use crate::backend::{Backend, View};
 use crate::delivery::{Delivery, Trail};
 use almondwell_core::placement::{self, Candidate, Prompt};
 use std::sync::Arc;
@@ -14,7 +14,7 @@
 /// The upstream for the next send.
 pub(crate) enum Place {
     /// It can begin soon enough.
-    At(Arc<Backend>),
+    At(Arc<Backend>, View),
     /// All would begin too late; holds the shortest wait.
     Full(Duration),
     /// There is none.
@@ -36,9 +36,9 @@
     let wider = backends.get(band.end..).unwrap_or_default();
     let among = |backends| place_among(delivery, trail, Some(limit), backends);
     match among(own) {
-        Place::At(backend) => Place::At(backend),
+        Place::At(backend, view) => Place::At(backend, view),
         Place::Full(wait) => match among(wider) {
-            Place::At(backend) => Place::At(backend),
+            Place::At(backend, view) => Place::At(backend, view),
             Place::Full(_) | Place::None => Place::Full(wait),
         },
         Place::None => among(backends),
@@ -77,28 +77,29 @@
         .filter(|backend| !backend.is_gone() && !trail.tried.contains(&backend.upstream.id))
         .collect();
     let rate = router.rate(&admitted.service);
-    let shared = request.job.shared();
-    let part = shared.last().map(|part| part.id);
+    let part = request.job.shared().last().map(|part| part.id);
+    let views: Vec<_> = left
+        .iter()
+        .map(|backend| backend.view(now, part, rate))
+        .collect();
     let candidates: Vec<_> = left
         .iter()
-        .map(|backend| {
-            let view = backend.view(now, part, rate);
-            Candidate {
-                distance: router.distance(&backend.upstream.zone),
-                failures: view.failures,
-                has_parts: view.has_parts,
-                id: &backend.upstream.id,
-                inflight: view.inflight,
-                reported: view
-                    .load
-                    .filter(|(_, age)| *age <= LOAD_AGE)
-                    .map(|(load, _)| load.running + load.waiting),
-                slots: backend.upstream.slots,
-                wait: view.wait,
-            }
+        .zip(&views)
+        .map(|(backend, view)| Candidate {
+            distance: router.distance(&backend.upstream.zone),
+            failures: view.failures,
+            has_parts: view.has_parts,
+            id: &backend.upstream.id,
+            inflight: view.inflight,
+            reported: view
+                .load
+                .filter(|(_, age)| *age <= LOAD_AGE)
+                .map(|(load, _)| load.running + load.waiting),
+            slots: backend.upstream.slots,
+            wait: view.wait,
         })
         .collect();
-    let tokens: u32 = shared.iter().map(|part| part.tokens).sum();
+    let tokens = request.job.work().shared;
     let prompt = admitted.band.as_ref().map(|_| Prompt {
         home: part,
         read: Duration::from_secs_f64(f64::from(tokens) / rate / 1000.0),
@@ -110,5 +111,5 @@
     if trail.sends == 0 && limit.is_some_and(|limit| wait > limit) {
         return Place::Full(wait);
     }
-    Place::At(left[index].clone())
+    Place::At(left[index].clone(), views[index])
 }
