Keep a hold although another entry still lists the upstream

Change: a list of another entry leaves holds as they are. Ruled out: listing without held upstreams, since those who take the list over remove what is missing at once, and a lapse would cost them all upstreams.

Test: `a_list_of_another_entry_does_not_end_a_hold` fails without the change.

--- a/almondwell/src/roster.rs
+++ b/almondwell/src/roster.rs
@@ -14,6 +14,7 @@
 pub(crate) async fn refresh(entry: &Entry) {
     let mut list = entry.objects.instances();
     loop {
+        // A store that is lost is logged by the configuration's watch; the last list stays meanwhile.
         if let Ok(true) = list.refresh().await {
             entry
                 .members
--- a/almondwell/src/stored/pickup.rs
+++ b/almondwell/src/stored/pickup.rs
@@ -85,6 +85,7 @@
     }
 
     async fn look(&mut self, entry: &Arc<Entry>) {
+        // A store that is lost is logged by the configuration's watch; the next look tries again.
         if self.refresh().await.is_err() {
             return;
         }
--- a/almondwell/src/stored/sweep.rs
+++ b/almondwell/src/stored/sweep.rs
@@ -30,6 +30,7 @@
 }
 
 async fn sweep(entry: &Entry, results: &mut Mirror<Version>, times: &mut Times, kept: Duration) {
+    // A store that is lost is logged by the configuration's watch; the next sweep tries again.
     if results.refresh().await.is_err() {
         return;
     }
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -121,6 +121,10 @@
         let missing: Vec<_> = known.filter(|id| !listed.contains(*id)).cloned().collect();
         let mut changes = Vec::new();
         for upstream in list {
+            // Another entry lists what it holds itself: that says nothing of whether it is back.
+            if source == Source::Entry && self.held.contains_key(&upstream.id) {
+                continue;
+            }
             let id = upstream.id.clone();
             changes.push((id, self.put(upstream)));
         }
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -112,3 +112,18 @@
     fleet.expire(at(4900));
     assert!(ready(&fleet).is_empty());
 }
+
+/// The other entry lists what it holds itself.
+#[test]
+fn a_list_of_another_entry_does_not_end_a_hold() {
+    let mut fleet = fleet(&["i-a", "i-b"]);
+    assert_eq!(fleet.remove(at(1000), "i-a"), Change::Held);
+    let list = ["i-a", "i-b"].map(|id| upstream(id, State::Ready));
+    assert!(
+        fleet
+            .replace(at(1100), Source::Entry, list.to_vec())
+            .is_empty()
+    );
+    assert_eq!(fleet.expire(at(1000) + Options::default().hold).len(), 1);
+    assert_eq!(ready(&fleet), ["i-b"]);
+}
