--- a/configuration/src/watch.rs
+++ b/configuration/src/watch.rs
@@ -6,7 +6,7 @@
 use almondwell_platform::{Error, Object};
 use async_std::future::timeout;
 use async_std::task;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longest wait of one watch; short, so that a hung platform is noticed soon.
 const WATCH_TIME: Duration = Duration::from_secs(2);
@@ -17,6 +17,9 @@
 /// Period of reads by processes that do not watch.
 const IDLE_LEAST: Duration = Duration::from_secs(20);
 const IDLE_MOST: Duration = Duration::from_secs(40);
+/// Period in which an idle process looks whether it is to watch now; short against the time in which a
+/// configuration has to be everywhere.
+const WATCHER_CHECK: Duration = Duration::from_millis(500);
 
 /// Follows the store until the process ends.
 pub async fn run(node: &impl Node) {
@@ -44,7 +47,7 @@
             Err(_) => pause(RETRY_LEAST, RETRY_MOST).await,
         }
         if !is_watcher {
-            pause(IDLE_LEAST, IDLE_MOST).await;
+            idle(node).await;
         }
     }
 }
@@ -76,6 +79,14 @@
     }
 }
 
+/// Pauses until the next read, or until this process is one of those that watch.
+async fn idle(node: &impl Node) {
+    let end = Instant::now() + rand::random_range(IDLE_LEAST..IDLE_MOST);
+    while Instant::now() < end && !node.watches() {
+        task::sleep(WATCHER_CHECK).await;
+    }
+}
+
 async fn pause(least: Duration, most: Duration) {
     task::sleep(rand::random_range(least..most)).await;
 }
