Let a process that knows no peer follow the store itself

Cause, from the processes' logs of 24 runs of both tests: the version that comes late is always the first one published after the entries' start, and always late at one side that no entry has spoken to yet. Such a side knows nobody to exchange versions with, doesn't watch, and sleeps for 20 to 40 s; it learns only if an entry happens to draw it.

Change: whoever knows no peer watches the store, until somebody speaks to it.

--- a/configuration/src/watch.rs
+++ b/configuration/src/watch.rs
@@ -26,7 +26,7 @@
     let mut from = 0;
     let mut is_lost = false;
     loop {
-        let is_watcher = node.watches() || node.replica().version() == 0;
+        let is_watcher = is_watcher(node);
         let object = if is_watcher {
             watch(node, &mut from).await
         } else {
@@ -52,6 +52,11 @@
     }
 }
 
+/// Whether the store is watched from here: by the few that watch for all, and by those that nobody tells.
+fn is_watcher(node: &impl Node) -> bool {
+    node.watches() || node.replica().version() == 0 || node.peers().is_empty()
+}
+
 /// Logs when the store is lost and when it is back.
 fn note(node: &impl Node, is_lost: &mut bool, answer: &Result<Option<Object>, Error>) {
     let version = node.replica().version();
@@ -79,10 +84,10 @@
     }
 }
 
-/// Pauses until the next read, or until this process is one of those that watch.
+/// Pauses until the next read, or until the store is watched from here.
 async fn idle(node: &impl Node) {
     let end = Instant::now() + rand::random_range(IDLE_LEAST..IDLE_MOST);
-    while Instant::now() < end && !node.watches() {
+    while Instant::now() < end && !is_watcher(node) {
         task::sleep(WATCHER_CHECK).await;
     }
 }
--- a/configuration/tests/replica.rs
+++ b/configuration/tests/replica.rs
@@ -1,76 +1,14 @@
 //! A process that asks its peers takes the highest version and never goes back.
 
-use almondwell_configuration::{Node, Replica, answer, heard, join};
-use almondwell_platform::Objects;
-use almondwell_schema::{Config, Datagram, Frame, Instance, Snapshot, Version};
+mod support;
+
+use almondwell_configuration::{Node, answer, heard, join};
+use almondwell_schema::{Frame, Snapshot, Version};
 use almondwell_wire::{Connection, Seal};
 use async_std::net::TcpListener;
 use async_std::task;
-use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
-
-/// A process without a platform, which notes what it puts in force.
-struct Process {
-    adopted: Mutex<Vec<Version>>,
-    objects: Objects,
-    replica: Replica,
-    seal: Seal,
-}
-
-impl Process {
-    fn new() -> Self {
-        Self {
-            adopted: Mutex::default(),
-            objects: Objects::new(SocketAddr::from(([127, 0, 0, 1], 1))),
-            replica: Replica::default(),
-            seal: Seal::new("test"),
-        }
-    }
-
-    fn adopted(&self) -> Vec<Version> {
-        self.adopted
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
-    }
-}
-
-impl Node for Process {
-    fn adopt(&self, version: Version, _: Config) {
-        self.adopted
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(version);
-    }
-
-    fn instances(&self) -> Vec<Instance> {
-        Vec::new()
-    }
-
-    fn learn(&self, _: Vec<Instance>) {}
-
-    fn objects(&self) -> &Objects {
-        &self.objects
-    }
-
-    fn peers(&self) -> Vec<SocketAddr> {
-        Vec::new()
-    }
-
-    fn replica(&self) -> &Replica {
-        &self.replica
-    }
-
-    fn seal(&self) -> &Seal {
-        &self.seal
-    }
-
-    async fn send(&self, _: Datagram, _: SocketAddr) {}
-
-    fn watches(&self) -> bool {
-        false
-    }
-}
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use support::Process;
 
 /// A peer that answers each fetch with `version` and the text `config`.
 async fn peer(version: Version, config: &'static str) -> SocketAddr {
@@ -93,6 +31,8 @@
     address
 }
 
+/// No store is there.
+const NOWHERE: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1));
 const CONFIG: &str = r#"{"author": "mika", "publish": 1, "replaced": [], "services": []}"#;
 
 #[test]
@@ -103,17 +43,17 @@
             peer(5, CONFIG).await,
             peer(4, CONFIG).await,
         ];
-        let process = Process::new();
+        let process = Process::new(NOWHERE);
         join(&process, &peers).await;
         assert_eq!(process.adopted(), [5]);
-        assert_eq!(process.replica.version(), 5);
+        assert_eq!(process.replica().version(), 5);
     });
 }
 
 #[test]
 fn a_lower_version_is_never_put_in_force() {
     task::block_on(async {
-        let process = Process::new();
+        let process = Process::new(NOWHERE);
         join(&process, &[peer(5, CONFIG).await]).await;
         join(&process, &[peer(4, CONFIG).await]).await;
         heard(&process, 9, peer(4, CONFIG).await).await;
@@ -126,9 +66,9 @@
 #[test]
 fn a_configuration_that_does_not_decode_is_passed_over() {
     task::block_on(async {
-        let process = Process::new();
+        let process = Process::new(NOWHERE);
         join(&process, &[peer(5, "{").await, peer(4, CONFIG).await]).await;
-        assert_eq!(process.replica.version(), 0);
+        assert_eq!(process.replica().version(), 0);
         join(&process, &[peer(4, CONFIG).await]).await;
         assert_eq!(process.adopted(), [4]);
     });
@@ -137,7 +77,7 @@
 #[test]
 fn peers_get_what_a_process_holds() {
     task::block_on(async {
-        let process = Process::new();
+        let process = Process::new(NOWHERE);
         join(&process, &[peer(5, CONFIG).await]).await;
         let fetch = almondwell_schema::Fetch { instances: false };
         let Frame::Snapshot(snapshot) = answer(&process, &fetch) else {
--- /dev/null
+++ b/configuration/tests/support/mod.rs
@@ -0,0 +1,71 @@
+//! A process of the tests.
+
+use almondwell_configuration::{Node, Replica};
+use almondwell_platform::Objects;
+use almondwell_schema::{Config, Datagram, Instance, Version};
+use almondwell_wire::Seal;
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+
+/// A process that knows no peers and notes what it puts in force.
+pub struct Process {
+    adopted: Mutex<Vec<Version>>,
+    objects: Objects,
+    replica: Replica,
+    seal: Seal,
+}
+
+impl Process {
+    pub fn new(store: SocketAddr) -> Self {
+        Self {
+            adopted: Mutex::default(),
+            objects: Objects::new(store),
+            replica: Replica::default(),
+            seal: Seal::new("test"),
+        }
+    }
+
+    pub fn adopted(&self) -> Vec<Version> {
+        self.adopted
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+}
+
+impl Node for Process {
+    fn adopt(&self, version: Version, _: Config) {
+        self.adopted
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(version);
+    }
+
+    fn instances(&self) -> Vec<Instance> {
+        Vec::new()
+    }
+
+    fn learn(&self, _: Vec<Instance>) {}
+
+    fn objects(&self) -> &Objects {
+        &self.objects
+    }
+
+    fn peers(&self) -> Vec<SocketAddr> {
+        Vec::new()
+    }
+
+    fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    fn seal(&self) -> &Seal {
+        &self.seal
+    }
+
+    async fn send(&self, _: Datagram, _: SocketAddr) {}
+
+    fn watches(&self) -> bool {
+        false
+    }
+}
