Read what has changed in the store in one place

Cause, from reading the change as a whole: three pieces listed a kind, watched it and listed again when the history was gone (the router's follower, `Mirror`, `Objects::watch`). The follower did it in two rounds, which is why an entry could count as current between them; the check for a revision that was added for this stood on top.

Change: `Store::changes` lists or watches and moves the revision on; all three use it, and the check is gone. The changes of one answer reach the fleet together, so that the lists of ready upstreams are made once an answer and not once a change.

--- a/configuration/src/watch.rs
+++ b/configuration/src/watch.rs
@@ -23,7 +23,7 @@
 
 /// Follows the store until the process ends.
 pub async fn run(node: &impl Node) {
-    let mut from = 0;
+    let mut from = None;
     let mut is_lost = false;
     loop {
         let is_watcher = is_watcher(node);
@@ -68,7 +68,7 @@
     *is_lost = answer.is_err();
 }
 
-async fn watch(node: &impl Node, from: &mut Revision) -> Result<Option<Object>, Error> {
+async fn watch(node: &impl Node, from: &mut Option<Revision>) -> Result<Option<Object>, Error> {
     let watch = node.objects().watch(KEY, from, WATCH_TIME);
     match timeout(WATCH_TIME + WATCH_GRACE, watch).await {
         Ok(object) => object,
@@ -76,7 +76,7 @@
     }
 }
 
-async fn read(node: &impl Node, from: &mut Revision) -> Result<Option<Object>, Error> {
+async fn read(node: &impl Node, from: &mut Option<Revision>) -> Result<Option<Object>, Error> {
     let read = node.objects().watch(KEY, from, Duration::ZERO);
     match timeout(READ_TIMEOUT, read).await {
         Ok(object) => object,
--- a/router/src/follow.rs
+++ b/router/src/follow.rs
@@ -1,8 +1,9 @@
 //! Follows the configuration and the registrations of upstreams in the platform's store.
 
 use crate::router::Router;
-use almondwell_core::fleet::{Change, Source};
-use almondwell_platform::store::{Event, Item, Kind, Revision, Watched};
+use almondwell_core::fleet::{Change, Fleet, Source};
+use almondwell_core::upstream::{Upstream, UpstreamId};
+use almondwell_platform::store::{Changes, Event, Item, Kind, Revision};
 use almondwell_platform::{Error, decode};
 use async_std::task;
 use rand::Rng;
@@ -33,13 +34,18 @@
     loop {
         let start = Instant::now();
         let wait = wait(&router, failed);
-        match step(&router, kind, from, wait).await {
-            Ok(next) => {
+        let since = from;
+        match router.store.changes(kind, &mut from, wait).await {
+            Ok(changes) => {
                 failures = 0;
-                from = next;
-                // Without a revision to go on from, what the store holds is still to be read.
-                if kind == Kind::Configuration && from.is_some() {
-                    router.set_current(true);
+                let has_changed = taken(&router, kind, since, &changes);
+                match (kind, from) {
+                    (Kind::Configuration, _) => router.set_current(true),
+                    (Kind::Upstreams, Some(at)) => router.set_revision(at),
+                    (Kind::Upstreams, None) => {}
+                }
+                if has_changed {
+                    task::sleep(GATHER).await;
                 }
             }
             Err(error) => {
@@ -87,80 +93,67 @@
     }
 }
 
-/// Lists, or waits for the next changes; returns the revision to go on from.
-async fn step(
-    router: &Router,
-    kind: Kind,
-    from: Option<Revision>,
-    wait: Duration,
-) -> Result<Option<Revision>, Error> {
-    let Some(from) = from else {
-        let (items, at) = router.store.list(kind).await?;
-        listed(router, kind, &items);
-        known(router, kind, at);
-        return Ok(Some(at));
-    };
-    match router.store.watch(kind, from, wait).await? {
-        Watched::Events(events, at) => {
-            for event in &events {
-                changed(router, kind, event);
+/// Takes over what was read; returns whether anything had changed while it was watched.
+fn taken(router: &Router, kind: Kind, since: Option<Revision>, changes: &Changes) -> bool {
+    match (kind, changes) {
+        (Kind::Configuration, Changes::All(items)) => {
+            for item in items {
+                configured(router, item);
             }
-            known(router, kind, at);
-            if !events.is_empty() {
-                task::sleep(GATHER).await;
+        }
+        (Kind::Configuration, Changes::Since(events)) => {
+            for event in events {
+                reconfigured(router, event);
             }
-            Ok(Some(at))
         }
-        Watched::Forgotten => {
-            spdlog::info!("history of the store is gone", kv: {
-                kind = format!("{kind:?}"), revision = from
+        (Kind::Upstreams, Changes::All(items)) => {
+            let upstreams = items.iter().filter_map(upstream).collect();
+            router.change(|fleet, now| fleet.replace(now, Source::Store, upstreams));
+        }
+        (Kind::Upstreams, Changes::Since(events)) => {
+            router.change(|fleet, now| {
+                let changes = events.iter().map(|event| registered(fleet, now, event));
+                changes.collect()
             });
-            Ok(None)
         }
     }
-}
-
-/// Notes up to which revision a kind is known.
-fn known(router: &Router, kind: Kind, at: Revision) {
-    if kind == Kind::Upstreams {
-        router.set_revision(at);
-    }
-}
-
-fn listed(router: &Router, kind: Kind, items: &[Item]) {
-    match kind {
-        Kind::Configuration => items.iter().for_each(|item| configured(router, item)),
-        Kind::Upstreams => {
-            let upstreams = items.iter().filter_map(upstream).collect();
-            router.change(|fleet, now| fleet.replace(now, Source::Store, upstreams));
+    match changes {
+        Changes::All(_) => {
+            if let Some(revision) = since {
+                spdlog::info!("history of the store is gone", kv: {
+                    kind = format!("{kind:?}"), revision
+                });
+            }
+            false
         }
+        Changes::Since(events) => !events.is_empty(),
     }
 }
 
-fn changed(router: &Router, kind: Kind, event: &Event) {
-    match (kind, event) {
-        (Kind::Configuration, Event::Put(item)) => configured(router, item),
-        (Kind::Configuration, Event::Deleted(item)) => {
+fn reconfigured(router: &Router, event: &Event) {
+    match event {
+        Event::Put(item) => configured(router, item),
+        Event::Deleted(item) => {
             spdlog::warn!("configuration deleted", kv: { revision = item.revision });
         }
-        (Kind::Upstreams, Event::Put(item)) => match upstream(item) {
-            Some(upstream) => {
-                let id = upstream.id.clone();
-                router.change(|fleet, _| vec![(id, fleet.put(upstream))]);
-            }
-            // What can't be read names no upstream to use.
-            None => removed(router, item),
-        },
-        (Kind::Upstreams, Event::Deleted(item)) => removed(router, item),
     }
 }
 
-fn removed(router: &Router, item: &Item) {
-    let id = item.name.clone();
-    router.change(|fleet, now| vec![(id.clone(), fleet.remove(now, &id))]);
+/// Takes over the change of a registration. One that can't be read names no upstream to use.
+fn registered(fleet: &mut Fleet, now: Duration, event: &Event) -> (UpstreamId, Change) {
+    let (Event::Put(item) | Event::Deleted(item)) = event;
+    let upstream = match event {
+        Event::Put(item) => upstream(item),
+        Event::Deleted(_) => None,
+    };
+    let change = match upstream {
+        Some(upstream) => fleet.put(upstream),
+        None => fleet.remove(now, &item.name),
+    };
+    (item.name.clone(), change)
 }
 
-fn upstream(item: &Item) -> Option<almondwell_core::upstream::Upstream> {
+fn upstream(item: &Item) -> Option<Upstream> {
     match decode::upstream(&item.name, &item.spec) {
         Ok(upstream) => Some(upstream),
         Err(fault) => {
