Take over a registration that changed its address in a list

Cause, from reading: a list that shows an upstream at another address, under the identifier that it had, counted as no change, and the lists of ready upstreams stayed as they were until something else changed. The same piece made these lists anew for events that change nothing, and compared each backend with each upstream.

Change: `Change::Changed`; only changes make the lists anew, and `Fleet::contains` looks an upstream up.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -33,6 +33,8 @@
 pub enum Change {
     /// It may get work from now on.
     Added,
+    /// What is known of it changed in another way, such as its address.
+    Changed,
     /// It gets no new work.
     Draining,
     /// Its removal waits, since it may be a lapse.
@@ -83,6 +85,7 @@
         let change = match (known.map(|known| known.state), upstream.state) {
             (None | Some(State::Draining), State::Ready) => Change::Added,
             (Some(State::Ready) | None, State::Draining) => Change::Draining,
+            (Some(_), _) if known != Some(&upstream) => Change::Changed,
             (Some(_), _) => Change::None,
         };
         self.upstreams.insert(upstream.id.clone(), upstream);
@@ -161,6 +164,11 @@
         self.upstreams.remove(id);
     }
 
+    /// Whether an upstream is known.
+    pub fn contains(&self, id: &str) -> bool {
+        self.upstreams.contains_key(id)
+    }
+
     /// All upstreams.
     pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
         self.upstreams.values()
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -127,3 +127,16 @@
     assert_eq!(fleet.expire(at(1000) + Options::default().hold).len(), 1);
     assert_eq!(ready(&fleet), ["i-b"]);
 }
+
+/// It has started anew elsewhere under the identifier that it had.
+#[test]
+fn a_list_tells_of_an_upstream_that_has_moved() {
+    let mut fleet = fleet(&["i-a"]);
+    let moved = Upstream {
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        ..upstream("i-a", State::Ready)
+    };
+    let changes = fleet.replace(at(0), Source::Store, vec![moved.clone()]);
+    assert_eq!(changes, [("i-a".into(), Change::Changed)]);
+    assert!(fleet.replace(at(0), Source::Store, vec![moved]).is_empty());
+}
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -41,7 +41,7 @@
     /// Entries that share the retry bounds, this one included.
     entries: AtomicUsize,
     fleet: Mutex<Fleet>,
-    /// Whether the last call to the store for the configuration was answered.
+    /// Whether the configuration has been read since the store was last lost.
     is_current: AtomicBool,
     pub(crate) metrics: Metrics,
     pub(crate) peers: Mutex<Peers<Digest>>,
@@ -191,11 +191,12 @@
     {
         let now = self.now();
         let mut fleet = self.fleet.lock().unwrap_or_else(PoisonError::into_inner);
-        let changes = change(&mut fleet, now);
+        let mut changes = change(&mut fleet, now);
+        changes.retain(|(_, change)| *change != Change::None);
         if changes.is_empty() {
             return;
         }
-        for (id, change) in changes.iter().filter(|(_, change)| *change != Change::None) {
+        for (id, change) in &changes {
             spdlog::info!("upstream changed", kv: {
                 upstream = id.as_ref(), change = format!("{change:?}")
             });
@@ -215,7 +216,7 @@
     fn publish(&self, fleet: &Fleet) {
         let mut backends = self.backends.lock().unwrap_or_else(PoisonError::into_inner);
         backends.retain(|id, backend| {
-            let stays = fleet.iter().any(|upstream| upstream.id == *id);
+            let stays = fleet.contains(id);
             if !stays {
                 backend.close_idle(false);
             }
