Keep the figures of services apart from the state of the router

Cause: router/src/router.rs had 416 lines and two jobs, and the pattern "insert when missing, then get" stood in it four times, once for each table by service.

Change: `figures.rs` holds bands, refusals, rates and retries, over one `Services<T>`; the router keeps the configuration and the upstreams. No decision changes.

--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -77,7 +77,7 @@
         };
         trail.tried.push(backend.upstream.id.clone());
         let is_repeat = trail.sends > 0;
-        if is_repeat && !delivery.router.take_retry(&delivery.admitted.service) {
+        if is_repeat && !take_retry(delivery) {
             return give_up(delivery, trail, Reason::RetriesSpent).await;
         }
         let Some((channel, is_kept)) = connect(delivery, &backend).await else {
@@ -127,6 +127,13 @@
     }
 }
 
+fn take_retry(delivery: Delivery<'_>) -> bool {
+    let Delivery {
+        admitted, router, ..
+    } = delivery;
+    router.figures.take_retry(router.now(), &admitted.service)
+}
+
 /// Whether the request may be sent once more.
 fn may_send(delivery: Delivery<'_>, trail: &Trail) -> bool {
     let route = &delivery.admitted.route;
@@ -301,12 +308,16 @@
 /// Refuses a request that would wait for too long.
 fn refuse_full(delivery: Delivery<'_>, wait: Duration) -> Ending {
     let Delivery {
-        admitted, request, ..
+        admitted,
+        request,
+        router,
+        ..
     } = delivery;
     let limit = own_limit(delivery);
-    delivery
-        .router
-        .refused(&admitted.service, admitted.rank, limit);
+    let now = router.now();
+    router
+        .figures
+        .refused(now, &admitted.service, admitted.rank, limit);
     spdlog::info!("no engine soon enough", kv: {
         request = attempt(request), wait_ms = milliseconds(wait),
         rank = admitted.rank, limit_ms = milliseconds(limit),
--- a/router/src/dispatch.rs
+++ b/router/src/dispatch.rs
@@ -117,7 +117,7 @@
             return Ending::Refused(refusal);
         }
     };
-    router.requested(&admitted.service);
+    router.figures.requested(router.now(), &admitted.service);
     let progress = Progress::default();
     let sends = delivery::all(Delivery {
         admitted: &admitted,
@@ -198,7 +198,9 @@
     }
     let band = job.model.as_ref().map(|_| {
         let gap = route.gap.unwrap_or(Duration::MAX);
-        router.band(service, gap, job.work())
+        let count = router.ready().get(service).map_or(0, Vec::len);
+        let figures = &router.figures;
+        figures.band(router.now(), service, gap, count, job.work())
     });
     Ok(Admitted {
         band,
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -11,6 +11,7 @@
 mod drain;
 pub mod events;
 mod fields;
+mod figures;
 mod follow;
 pub mod framing;
 mod metrics;
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -103,7 +103,7 @@
         control: router.settings.control,
         version: router.table().map_or(0, |table| table.version),
         revision: router.revision(),
-        shares: router.shares(),
+        shares: router.figures.shares(now),
         peers: lock(router).known().take(HINTS).collect(),
         suspects: suspects
             .into_iter()
@@ -124,13 +124,13 @@
 fn study(router: &Router) {
     let now = router.now();
     let mut peers = lock(router);
-    router.set_entries(peers.count(now));
+    router.figures.set_entries(peers.count(now));
     let others: Vec<_> = peers
         .words(now)
         .flat_map(|(age, digest)| digest.shares.iter().map(move |share| (age, share.clone())))
         .collect();
     drop(peers);
-    router.learn(&others);
+    router.figures.learn(&others);
 }
 
 async fn heard(router: &Arc<Router>, digest: Digest) {
--- a/router/src/place.rs
+++ b/router/src/place.rs
@@ -56,7 +56,9 @@
         admitted, router, ..
     } = delivery;
     let own = own_limit(delivery);
-    router.limit(&admitted.service, admitted.rank, own)
+    router
+        .figures
+        .limit(router.now(), &admitted.service, admitted.rank, own)
 }
 
 fn place_among(
@@ -76,7 +78,7 @@
         .iter()
         .filter(|backend| !backend.is_gone() && !trail.tried.contains(&backend.upstream.id))
         .collect();
-    let rate = router.rate(&admitted.service);
+    let rate = router.figures.rate(&admitted.service);
     let part = request.job.shared().last().map(|part| part.id);
     let views: Vec<_> = left
         .iter()
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -164,6 +164,7 @@
     if let Some((time, tokens)) = delivery.progress.first_token(now) {
         delivery
             .router
+            .figures
             .read(&delivery.admitted.service, time, tokens);
     }
 }
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -2,26 +2,22 @@
 
 use crate::backend::Backend;
 use crate::drain::Drain;
+use crate::figures::Figures;
 use crate::metrics::Metrics;
-use almondwell_core::backlog::Rate;
-use almondwell_core::bands::{Bands, Work};
 use almondwell_core::fleet::{self, Change, Fleet};
 use almondwell_core::peers::{self, Peers};
 use almondwell_core::placement;
-use almondwell_core::precedence::Precedence;
 use almondwell_core::quarantine::Quarantine;
-use almondwell_core::retries::{self, Retries};
-use almondwell_core::table::{Rank, Table};
+use almondwell_core::table::Table;
 use almondwell_core::upstream::{Upstream, UpstreamId};
 use almondwell_daemon::Clock;
 use almondwell_platform::Store;
-use almondwell_schema::{Digest, RouterSettings, Share};
+use almondwell_schema::{Digest, RouterSettings};
 use almondwell_wire::Socket;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use std::collections::BTreeMap;
-use std::ops::Range;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 /// Upstreams that take work, by service.
@@ -34,30 +30,22 @@
 /// State of the request path.
 pub(crate) struct Router {
     backends: Mutex<BTreeMap<UpstreamId, Arc<Backend>>>,
-    /// Division of the engines, by service.
-    bands: Mutex<BTreeMap<Box<str>, Bands>>,
     pub(crate) clock: Clock,
     pub(crate) drain: Drain,
-    /// Entries that share the retry bounds, this one included.
-    entries: AtomicUsize,
+    pub(crate) figures: Figures,
     fleet: Mutex<Fleet>,
     /// Whether the configuration has been read since the store was last lost.
     is_current: AtomicBool,
     pub(crate) metrics: Metrics,
     pub(crate) peers: Mutex<Peers<Digest>>,
     pub(crate) placement: placement::Options,
-    /// Refusals for want of room, by service.
-    precedence: Mutex<BTreeMap<Box<str>, Precedence>>,
     pub(crate) quarantine: Mutex<Quarantine>,
     ready: ArcSwap<Ready>,
     regions: BTreeMap<Box<str>, Box<str>>,
-    retries: Mutex<BTreeMap<Box<str>, Retries>>,
     pub(crate) settings: RouterSettings,
     /// Datagrams between entries.
     pub(crate) socket: Socket,
     pub(crate) store: Store,
-    /// Rate at which engines read prompts, by service.
-    rates: Mutex<BTreeMap<Box<str>, Rate>>,
     /// Revision of the store up to which the upstreams are known.
     revision: AtomicU64,
     table: ArcSwapOption<Table>,
@@ -75,10 +63,9 @@
             .collect();
         Self {
             backends: Mutex::default(),
-            bands: Mutex::default(),
             clock: Clock::start(),
             drain: Drain::default(),
-            entries: AtomicUsize::new(settings.seeds.len() + 1),
+            figures: Figures::new(&settings),
             fleet: Mutex::new(Fleet::new(fleet::Options {
                 hold: settings.drain.mul_f64(HELD),
                 ..fleet::Options::default()
@@ -91,15 +78,12 @@
                 settings.seeds.clone(),
             )),
             placement: placement::Options::default(),
-            precedence: Mutex::default(),
             quarantine: Mutex::default(),
             ready: ArcSwap::default(),
             regions,
-            retries: Mutex::default(),
             socket,
             store: Store::new(settings.store),
             settings,
-            rates: Mutex::default(),
             revision: AtomicU64::new(0),
             table: ArcSwapOption::empty(),
             written: ArcSwapOption::empty(),
@@ -256,142 +240,6 @@
             placement::Distance::Far
         }
     }
-
-    /// Notes work for an engine of a service; returns the engines for it among those that are ready.
-    pub(crate) fn band(&self, service: &str, gap: Duration, work: Work) -> Range<usize> {
-        let now = self.now();
-        let count = self.ready().get(service).map_or(0, Vec::len);
-        let mut bands = self.bands.lock().unwrap_or_else(PoisonError::into_inner);
-        if !bands.contains_key(service) {
-            bands.insert(service.into(), Bands::default());
-        }
-        let Some(bands) = bands.get_mut(service) else {
-            return 0..count;
-        };
-        let before = bands.members(gap, count);
-        bands.note(now, gap, work);
-        let after = bands.members(gap, count);
-        if before != after {
-            spdlog::info!("band moved", kv: {
-                service, gap_ms = milliseconds(gap), count,
-                before = format!("{before:?}"), after = format!("{after:?}")
-            });
-        }
-        after
-    }
-
-    /// Work that this entry sent to engines.
-    pub(crate) fn shares(&self) -> Vec<Share> {
-        let now = self.now();
-        let mut bands = self.bands.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut shares = Vec::new();
-        for (service, bands) in bands.iter_mut() {
-            shares.extend(bands.own(now).map(|(gap, work)| Share {
-                service: service.clone(),
-                gap,
-                // A figure of work is above 0 and far below 2^53.
-                #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-                tokens: work as u64,
-            }));
-        }
-        shares
-    }
-
-    /// Takes in the work that other entries sent to engines, with the age of their figures.
-    pub(crate) fn learn(&self, others: &[(Duration, Share)]) {
-        let mut bands = self.bands.lock().unwrap_or_else(PoisonError::into_inner);
-        for (service, bands) in bands.iter_mut() {
-            let own = others.iter().filter(|(_, share)| share.service == *service);
-            // Figures of work are far below 2^53.
-            #[allow(clippy::cast_precision_loss)]
-            bands.learn(own.map(|(age, share)| (share.gap, share.tokens as f64, *age)));
-        }
-    }
-
-    /// Notes that a request to a service was refused for want of room, and the wait that it bore.
-    pub(crate) fn refused(&self, service: &str, rank: Rank, limit: Duration) {
-        let now = self.now();
-        let mut all = self.precedence();
-        if !all.contains_key(service) {
-            all.insert(service.into(), Precedence::default());
-        }
-        if let Some(precedence) = all.get_mut(service) {
-            precedence.refused(now, rank, limit);
-        }
-    }
-
-    /// Longest wait of a request to a service that by itself bears `own`.
-    pub(crate) fn limit(&self, service: &str, rank: Rank, own: Duration) -> Duration {
-        let now = self.now();
-        let precedence = self.precedence();
-        precedence
-            .get(service)
-            .map_or(own, |precedence| precedence.limit(now, rank, own))
-    }
-
-    fn precedence(&self) -> MutexGuard<'_, BTreeMap<Box<str>, Precedence>> {
-        self.precedence
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Notes a caller's request to a service.
-    pub(crate) fn requested(&self, service: &str) {
-        let now = self.now();
-        let mut retries = self.retries();
-        if let Some(retries) = retries.get_mut(service) {
-            retries.request(now);
-        } else {
-            let mut first = Retries::new(self.retry_options());
-            first.request(now);
-            retries.insert(service.into(), first);
-        }
-    }
-
-    /// Takes a retry of a request to a service, if one is left.
-    pub(crate) fn take_retry(&self, service: &str) -> bool {
-        let now = self.now();
-        let entries = self.entries.load(Ordering::Acquire);
-        self.retries()
-            .get_mut(service)
-            .is_some_and(|retries| retries.take(now, entries, now))
-    }
-
-    /// Tokens that an engine of a service reads in a millisecond.
-    pub(crate) fn rate(&self, service: &str) -> f64 {
-        let rates = self.rates.lock().unwrap_or_else(PoisonError::into_inner);
-        rates.get(service).copied().unwrap_or_default().tokens()
-    }
-
-    /// Notes that a request to a service began after `time`, with so many tokens to be read.
-    pub(crate) fn read(&self, service: &str, time: Duration, tokens: u32) {
-        let mut rates = self.rates.lock().unwrap_or_else(PoisonError::into_inner);
-        if !rates.contains_key(service) {
-            rates.insert(service.into(), Rate::default());
-        }
-        if let Some(rate) = rates.get_mut(service) {
-            rate.observe(time, tokens);
-        }
-    }
-
-    /// Notes how many entries there are; the most that were ever seen share the retries, since one that
-    /// is out of sight may still send.
-    pub(crate) fn set_entries(&self, entries: usize) {
-        self.entries.fetch_max(entries, Ordering::AcqRel);
-    }
-
-    fn retry_options(&self) -> retries::Options {
-        retries::Options {
-            allowance: self.settings.retry_allowance.value(),
-            ratio: self.settings.retry_ratio.value(),
-            window: self.settings.retry_window,
-            ..retries::Options::default()
-        }
-    }
-
-    fn retries(&self) -> MutexGuard<'_, BTreeMap<Box<str>, Retries>> {
-        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 /// Whole milliseconds, as logs show them.
