Hash each engine once a placement, and write whole answers in one place

Cause, from reading: a placement took the hash of each engine for a home twice; whole answers of success and of failure were written by two copies of the same lines; `Router::adopt` returned a value that nobody took.

Change: the hashes are taken once; `relay::write_whole`; no value. No decision changes.

--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -97,14 +97,13 @@
     candidates: &[Candidate<'_>],
     eligible: impl Fn(&Candidate<'_>) -> bool,
 ) -> Option<usize> {
-    let home = prompt.home.and_then(|part| {
-        candidates
-            .iter()
-            .enumerate()
-            .filter(|(_, candidate)| eligible(candidate))
-            .max_by_key(|(_, candidate)| weight(part, candidate.id))
-            .map(|(index, _)| index)
+    let weights: Vec<_> = prompt.home.map_or_else(Vec::new, |part| {
+        let ids = candidates.iter().map(|candidate| candidate.id);
+        ids.map(|id| weight(part, id)).collect()
     });
+    let home = (0..weights.len())
+        .filter(|index| eligible(&candidates[*index]))
+        .max_by_key(|index| weights[*index]);
     let cost = |index: usize, candidate: &Candidate<'_>| {
         let reads = !candidate.has_parts && home != Some(index);
         let read = if reads {
@@ -126,7 +125,7 @@
         .enumerate()
         .filter(|(_, candidate)| eligible(candidate))
         .min_by_key(|(index, candidate)| {
-            let tie = prompt.home.map(|part| weight(part, candidate.id));
+            let tie = weights.get(*index);
             (cost(*index, candidate), std::cmp::Reverse(tie))
         })
         .map(|(index, _)| index)
--- a/router/src/follow.rs
+++ b/router/src/follow.rs
@@ -167,9 +167,7 @@
 
 fn configured(router: &Router, item: &Item) {
     match decode::table(&item.spec) {
-        Ok(table) => {
-            router.adopt(table, item.spec.to_string().into_bytes(), "store");
-        }
+        Ok(table) => router.adopt(table, item.spec.to_string().into_bytes(), "store"),
         Err(fault) => spdlog::error!("configuration left out", kv: {
             object = item.name.as_ref(), revision = item.revision, fault = fault.as_ref()
         }),
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -184,9 +184,7 @@
 fn adopt(router: &Router, held: Held, from: SocketAddr) {
     if !held.table.is_empty() {
         match decode::written_table(&held.table) {
-            Ok(table) => {
-                router.adopt(table, held.table, "entry");
-            }
+            Ok(table) => router.adopt(table, held.table, "entry"),
             Err(fault) => spdlog::error!("configuration left out", kv: {
                 from = from.to_string(), fault = fault.as_ref()
             }),
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -55,17 +55,21 @@
             return rest(&mut writer, channel, &mut decoder, body).await;
         }
     }
+    first(delivery, head);
+    match write_whole(delivery, head, &body).await {
+        Some(keeps_alive) => Relayed::Done { keeps_alive },
+        None => Relayed::CallerGone,
+    }
+}
+
+/// Writes a whole answer; returns whether the connection stays, or `None` when the caller is gone.
+async fn write_whole(delivery: Delivery<'_>, head: &Head, body: &[u8]) -> Option<bool> {
     let closes = closes(delivery);
     let mut answer = head.write(Framing::Length(body.len() as u64), closes);
-    answer.append(&mut body);
-    first(delivery, head);
+    answer.extend_from_slice(body);
     let mut caller = delivery.caller;
-    match caller.write_all(&answer).await {
-        Ok(()) => Relayed::Done {
-            keeps_alive: !closes,
-        },
-        Err(_) => Relayed::CallerGone,
-    }
+    caller.write_all(&answer).await.ok()?;
+    Some(!closes)
 }
 
 /// Passes on what is held and the rest as it comes.
@@ -139,18 +143,12 @@
     if matches!(head.status, 408 | 421 | 429 | 503) {
         return Ending::Refused(Refusal::failed(502, Reason::UpstreamFailed));
     }
-    let closes = closes(delivery);
-    let mut answer = head.write(Framing::Length(body.len() as u64), closes);
-    answer.extend_from_slice(body);
     delivery
         .progress
         .begin(delivery.request.at.elapsed(), head.status);
-    let mut caller = delivery.caller;
-    match caller.write_all(&answer).await {
-        Ok(()) => Ending::Answered {
-            keeps_alive: !closes,
-        },
-        Err(_) => Ending::Gone,
+    match write_whole(delivery, head, body).await {
+        Some(keeps_alive) => Ending::Answered { keeps_alive },
+        None => Ending::Gone,
     }
 }
 
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -116,7 +116,7 @@
     }
 
     /// Puts a table in force unless it is older than the one that is.
-    pub(crate) fn adopt(&self, table: Table, written: Vec<u8>, source: &str) -> bool {
+    pub(crate) fn adopt(&self, table: Table, written: Vec<u8>, source: &str) {
         let held = self.table().map(|table| table.version);
         let outcome = if held.is_some_and(|held| held >= table.version) {
             "kept"
@@ -128,14 +128,13 @@
             routes = table.len(), keys = table.keys().len(), outcome
         });
         if outcome == "kept" {
-            return false;
+            return;
         }
         self.metrics
             .table_version
             .set(i64::try_from(table.version).unwrap_or(i64::MAX));
         self.written.store(Some(Arc::new(written)));
         self.table.store(Some(Arc::new(table)));
-        true
     }
 
     /// The table as the store has it.
