Count the streams that go on elsewhere

Cause, from reading: `almondwell_resumed_total` was registered and never raised, so that it stood at 0 whatever happened.

Change: it is raised when a stream that has begun is sent on. `Fleet::metrics` reads the page in tests.

Test: `resumes_a_stream_after_its_last_event` holds the count against what the upstream saw; without the change it is 0.

--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -91,6 +91,9 @@
         if is_repeat {
             delivery.router.metrics.retries.inc();
         }
+        if delivery.progress.has_begun() {
+            delivery.router.metrics.resumed.inc();
+        }
         log_send(delivery, &trail, &backend, &view, is_kept);
         if delivery.admitted.band.is_some() {
             let progress = delivery.progress;
