--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -22,7 +22,6 @@
 pub(crate) struct Metrics {
     pub(crate) endings: Family<Ending, Counter>,
     pub(crate) first: Histogram,
-    pub(crate) registry: Registry,
     pub(crate) resumed: Counter,
     pub(crate) retries: Counter,
     pub(crate) table_version: Gauge,
@@ -31,50 +30,50 @@
 
 impl Default for Metrics {
     fn default() -> Self {
-        let mut registry = Registry::with_prefix("almondwell");
-        let metrics = Self {
+        Self {
             endings: Family::default(),
             first: Histogram::new(BUCKETS),
-            registry: Registry::default(),
             resumed: Counter::default(),
             retries: Counter::default(),
             table_version: Gauge::default(),
             total: Histogram::new(BUCKETS),
-        };
+        }
+    }
+}
+
+impl Metrics {
+    /// A registry of all metrics.
+    pub(crate) fn registry(&self) -> Registry {
+        let mut registry = Registry::with_prefix("almondwell");
         registry.register(
             "requests",
             "Requests by how they ended",
-            metrics.endings.clone(),
+            self.endings.clone(),
         );
         registry.register(
             "first_byte_seconds",
             "Time to the first byte of an answer",
-            metrics.first.clone(),
+            self.first.clone(),
         );
         registry.register(
             "request_seconds",
             "Time to the end of a request",
-            metrics.total.clone(),
+            self.total.clone(),
         );
         registry.register(
             "resumed",
             "Streams that went on elsewhere",
-            metrics.resumed.clone(),
+            self.resumed.clone(),
         );
-        registry.register("retries", "Sends after the first", metrics.retries.clone());
+        registry.register("retries", "Sends after the first", self.retries.clone());
         registry.register(
             "configuration_version",
             "Version of the configuration in force",
-            metrics.table_version.clone(),
+            self.table_version.clone(),
         );
-        Self {
-            registry,
-            ..metrics
-        }
+        registry
     }
-}
 
-impl Metrics {
     pub(crate) fn ended(&self, outcome: &'static str, reason: &'static str, time: Duration) {
         self.endings
             .get_or_create(&Ending { outcome, reason })
--- a/router/src/pages.rs
+++ b/router/src/pages.rs
@@ -16,13 +16,13 @@
 
 /// Serves health and metrics.
 pub(crate) async fn admin(router: Arc<Router>, listener: TcpListener) {
+    let registry = Arc::new(router.metrics.registry());
     let mut server = Server::with_state(router);
     server.at("/health").get(check);
-    server
-        .at("/metrics")
-        .get(|request: Request<Arc<Router>>| async move {
-            metrics(&request.state().metrics.registry)
-        });
+    server.at("/metrics").get(move |_| {
+        let registry = registry.clone();
+        async move { metrics(&registry) }
+    });
     run(server, listener, "admin").await;
 }
 
