Bound what is read for one answer, and let other tasks run in between

Cause: loops that read until there is nothing to read never yield while the peer sends fast enough. read_head skipped interim responses without a bound, so one such upstream stopped the task and its timeout, and 20 requests stopped the whole entry. Trailers, chunk extensions and bodies had no bound either, the split of events copied the rest of the buffer for each event, and the HTTP client of the store read chunks without end past the timeout of its call. Change: wire::Turn yields after every 16 operations of a loop, wire::Inflow adds an allowance of bytes for HTTP libraries. The router's connections, frames, datagrams, accept loops, the store's client, the sides' upstreams and callers' bodies use them. A head and its interim responses share 32 KiB, a trailer section 4 KiB, a body the new setting max_answer (16 MiB). Events are split in one pass.

--- a/almondwell/src/inbound.rs
+++ b/almondwell/src/inbound.rs
@@ -1,7 +1,7 @@
 //! The bytes of one request as a stream for the HTTP decoder.
 
+use almondwell_wire::Inflow;
 use async_std::io::{Read, Write};
-use async_std::net::TcpStream;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -14,11 +14,11 @@
 pub(crate) struct Inbound {
     bytes: Arc<Vec<u8>>,
     position: usize,
-    connection: Option<TcpStream>,
+    connection: Option<Inflow>,
 }
 
 impl Inbound {
-    pub(crate) fn new(bytes: Vec<u8>, connection: Option<TcpStream>) -> Self {
+    pub(crate) fn new(bytes: Vec<u8>, connection: Option<Inflow>) -> Self {
         Self {
             bytes: Arc::new(bytes),
             position: 0,
@@ -36,9 +36,9 @@
         let this = self.get_mut();
         let unread = &this.bytes[this.position..];
         if unread.is_empty()
-            && let Some(tcp) = &mut this.connection
+            && let Some(inflow) = &mut this.connection
         {
-            return Pin::new(tcp).poll_read(context, buffer);
+            return Pin::new(inflow).poll_read(context, buffer);
         }
         let count = unread.len().min(buffer.len());
         buffer[..count].copy_from_slice(&unread[..count]);
--- a/almondwell/src/listener.rs
+++ b/almondwell/src/listener.rs
@@ -2,6 +2,7 @@
 
 use crate::connection;
 use crate::entry::Entry;
+use almondwell_wire::Turn;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use std::sync::Arc;
@@ -15,7 +16,9 @@
 
 /// Accepts and serves connections until cancelled.
 pub(crate) async fn accept(entry: Arc<Entry>, listener: TcpListener) {
+    let turn = Turn::default();
     loop {
+        turn.wait().await;
         match listener.accept().await {
             Ok((tcp, _)) => admit(&entry, tcp),
             Err(_) => task::sleep(ACCEPT_RETRY_DELAY).await,
--- a/almondwell/src/peers.rs
+++ b/almondwell/src/peers.rs
@@ -4,7 +4,7 @@
 use almondwell_configuration as configuration;
 use almondwell_daemon::{Limiter, sends_first_byte};
 use almondwell_schema::Frame;
-use almondwell_wire::{Connection, Error};
+use almondwell_wire::{Connection, Error, Turn};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use std::sync::Arc;
@@ -21,7 +21,9 @@
 /// Accepts connections and answers fetches, until the process ends.
 pub(crate) async fn accept(entry: Arc<Entry>, listener: TcpListener) {
     let limiter = Limiter::new(MAX_CONNECTIONS);
+    let turn = Turn::default();
     loop {
+        turn.wait().await;
         match listener.accept().await {
             Ok((tcp, _)) => admit(&entry, &limiter, tcp),
             Err(_) => task::sleep(ACCEPT_RETRY_DELAY).await,
--- a/almondwell/src/receive.rs
+++ b/almondwell/src/receive.rs
@@ -5,6 +5,7 @@
 use crate::inbound::Inbound;
 use crate::memory::Permit;
 use crate::refusal::Refusal;
+use almondwell_wire::{Allowance, Inflow, Turn};
 use async_h1::server::decode;
 use async_std::future::timeout;
 use async_std::io::{self, ReadExt, WriteExt};
@@ -14,6 +15,8 @@
 
 /// Copies of a body that are in memory at once while it is decoded and forwarded.
 const BODY_COPIES: usize = 4;
+/// Bytes that a chunked body of the longest kind may take, with the sizes of its chunks.
+const MAX_CHUNKED_BYTES: u64 = 4 * MAX_BODY_BYTES as u64;
 const READ_BYTES: usize = 16 << 10;
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -86,11 +89,16 @@
     head: Head,
 ) -> io::Result<Result<Request, Refusal>> {
     let inbound = match head.body {
-        Body::Chunked => Inbound::new(std::mem::take(bytes), Some(tcp.clone())),
+        Body::Chunked => {
+            let inflow = Inflow::new(tcp.clone(), Allowance::new(MAX_CHUNKED_BYTES));
+            Inbound::new(std::mem::take(bytes), Some(inflow))
+        }
         Body::Length(length) => {
             let end = head.length + length;
             bytes.reserve_exact(end.saturating_sub(bytes.len()) + READ_BYTES);
+            let turn = Turn::default();
             while bytes.len() < end {
+                turn.wait().await;
                 if read_more(tcp, bytes).await? == 0 {
                     return Err(io::ErrorKind::UnexpectedEof.into());
                 }
--- a/daemon/src/check.rs
+++ b/daemon/src/check.rs
@@ -86,6 +86,7 @@
         validator.require("connections", self.connections > 0, "expected 1 or more");
         validator.require("contact", !self.contact.is_zero(), "expected more than 0s");
         validator.require("drain", !self.drain.is_zero(), "expected more than 0s");
+        validator.require("max_answer", self.max_answer > 0, "expected 1 or more");
         validator.require("grace", !self.grace.is_zero(), "expected more than 0s");
         validator.require(
             "retry_window",
--- a/router/src/buffer.rs
+++ b/router/src/buffer.rs
@@ -1,5 +1,6 @@
 //! Read buffer of a connection.
 
+use almondwell_wire::{Allowance, Inflow};
 use async_std::io::{self, Read};
 use async_std::net::TcpStream;
 use std::future::poll_fn;
@@ -12,23 +13,28 @@
 /// A connection and the bytes received on it that have not been consumed.
 pub(crate) struct Buffer {
     bytes: Vec<u8>,
-    stream: TcpStream,
+    inflow: Inflow,
 }
 
 impl Buffer {
-    pub(crate) const fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: TcpStream) -> Self {
         Self {
             bytes: Vec::new(),
-            stream,
+            inflow: Inflow::new(stream, Allowance::new(u64::MAX)),
         }
     }
 
+    /// Limits the bytes that are read from now on; reads beyond `bytes` fail with `InvalidData`.
+    pub(crate) fn allow(&self, bytes: u64) {
+        self.inflow.allowance().set(bytes);
+    }
+
     pub(crate) fn bytes(&self) -> &[u8] {
         &self.bytes
     }
 
     pub(crate) const fn stream(&self) -> &TcpStream {
-        &self.stream
+        self.inflow.tcp()
     }
 
     /// Drops the first `count` bytes.
@@ -48,11 +54,11 @@
 
     /// Reads once; returns the number of new bytes, 0 if the peer has closed the connection.
     pub(crate) async fn fill(&mut self) -> io::Result<usize> {
-        let Self { bytes, stream } = self;
+        let Self { bytes, inflow } = self;
         // The chunk lives on the stack during one poll, so an idle connection holds no buffer.
         poll_fn(|context| {
             let mut chunk = [0; READ_SIZE];
-            let count = ready!(Pin::new(&mut *stream).poll_read(context, &mut chunk))?;
+            let count = ready!(Pin::new(&mut *inflow).poll_read(context, &mut chunk))?;
             bytes.extend_from_slice(&chunk[..count]);
             Poll::Ready(Ok(count))
         })
--- a/router/src/caller.rs
+++ b/router/src/caller.rs
@@ -7,6 +7,7 @@
 use crate::router::Router;
 use almondwell_core::table::Limits;
 use almondwell_daemon::Limiter;
+use almondwell_wire::Turn;
 use async_std::future::timeout;
 use async_std::io::WriteExt;
 use async_std::net::{Shutdown, TcpListener, TcpStream};
@@ -25,7 +26,9 @@
 /// Accepts callers' connections, up to the configured limit, until cancelled.
 pub(crate) async fn accept(router: Arc<Router>, listener: TcpListener) {
     let limiter = Limiter::new(router.settings.connections as usize);
+    let turn = Turn::default();
     loop {
+        turn.wait().await;
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
--- a/router/src/connection.rs
+++ b/router/src/connection.rs
@@ -1,8 +1,8 @@
 //! HTTP/1.1 connection to an upstream.
 
 use crate::buffer::Buffer;
-use crate::framing::Decoder;
-use crate::response::Head;
+use crate::framing::{Decoder, Framing};
+use crate::response::{Head, MAX_HEAD_BYTES};
 use almondwell_platform::set_up_socket;
 use async_std::future::timeout;
 use async_std::io::{self, WriteExt};
@@ -28,6 +28,18 @@
     InvalidResponse,
     /// Reading from or writing to the connection failed.
     Io(io::Error),
+    /// The response is longer than allowed, or announces that it will be.
+    TooLong,
+}
+
+impl From<io::Error> for Error {
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            // The connection's allowance is spent.
+            io::ErrorKind::InvalidData => Self::TooLong,
+            _ => Self::Io(error),
+        }
+    }
 }
 
 impl Error {
@@ -36,13 +48,14 @@
             Self::Closed => "connection ended",
             Self::InvalidResponse => "answer is not this request's",
             Self::Io(_) => "connection failed",
+            Self::TooLong => "answer is too long",
         }
     }
 
     /// The operating system's error message, if any.
     pub(crate) fn detail(&self) -> String {
         match self {
-            Self::Closed | Self::InvalidResponse => String::new(),
+            Self::Closed | Self::InvalidResponse | Self::TooLong => String::new(),
             Self::Io(error) => error.to_string(),
         }
     }
@@ -74,12 +87,29 @@
 
     /// Sends `request` and reads the head of the response.
     ///
-    /// An upstream may respond before it has read a long body; the connection is then not reused.
-    pub(crate) async fn exchange(&mut self, request: &[u8], method: &str) -> Result<Head, Error> {
+    /// An upstream may respond before it has read a long body; the connection is then not reused. A response
+    /// whose body is longer than `max_body` bytes fails, here or in [`Self::read_body`].
+    pub(crate) async fn exchange(
+        &mut self,
+        request: &[u8],
+        method: &str,
+        max_body: u64,
+    ) -> Result<Head, Error> {
+        let head = self.request_head(request, method).await?;
+        if matches!(head.framing, Framing::Length(length) if length > max_body) {
+            return Err(Error::TooLong);
+        }
+        self.buffer.allow(max_body);
+        Ok(head)
+    }
+
+    async fn request_head(&mut self, request: &[u8], method: &str) -> Result<Head, Error> {
         self.is_sent = false;
+        // Bounds all interim responses and the final head together.
+        self.buffer.allow(MAX_HEAD_BYTES as u64);
         let mut writer = self.buffer.stream().clone();
         let write = async {
-            writer.write_all(request).await.map_err(Error::Io)?;
+            writer.write_all(request).await?;
             Ok(None)
         };
         let read = async { read_head(&mut self.buffer, method).await.map(Some) };
@@ -101,11 +131,10 @@
         if decoder.is_done() || !body.is_empty() {
             return Ok(decoder.is_done());
         }
-        match self.buffer.fill().await {
-            Ok(0) if decoder.ends_with_connection() => return Ok(true),
-            Ok(0) => return Err(Error::Closed),
-            Ok(_) => {}
-            Err(error) => return Err(Error::Io(error)),
+        match self.buffer.fill().await? {
+            0 if decoder.ends_with_connection() => return Ok(true),
+            0 => return Err(Error::Closed),
+            _ => {}
         }
         self.decode(decoder, body)?;
         Ok(decoder.is_done())
@@ -162,10 +191,8 @@
             }
             return Ok(head);
         }
-        match buffer.fill().await {
-            Ok(0) => return Err(Error::Closed),
-            Ok(_) => {}
-            Err(error) => return Err(Error::Io(error)),
+        if buffer.fill().await? == 0 {
+            return Err(Error::Closed);
         }
     }
 }
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -193,7 +193,10 @@
     let inflight = backend.start_request();
     let bytes = encode_request(delivery, history, backend);
     progress.set_verdict(Verdict::MayHaveRun);
-    let head = match connection.exchange(&bytes, &request.method).await {
+    let head = match connection
+        .exchange(&bytes, &request.method, router.settings.max_answer)
+        .await
+    {
         Ok(head) => head,
         Err(error) => {
             backend.record_failure(router.now());
--- a/router/src/events.rs
+++ b/router/src/events.rs
@@ -37,27 +37,35 @@
     ///
     /// Events that the caller already has, by their identifier, are skipped.
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+        let mut searched = self.partial.len();
         self.partial.extend_from_slice(bytes);
+        let mut pending = std::mem::take(&mut self.partial);
         let mut complete = Vec::new();
-        while let Some(length) = event_length(&self.partial) {
-            let rest = self.partial.split_off(length);
-            let event = std::mem::replace(&mut self.partial, rest);
-            let id = event_id(&event);
-            if let Some(id) = id {
-                if self.is_duplicate(&id) {
-                    continue;
-                }
-                self.last = Some(id);
-            }
-            self.count += 1;
-            complete.extend_from_slice(&event);
+        let mut start = 0;
+        while let Some(end) = event_end(&pending, start, searched) {
+            self.complete(&pending[start..end], &mut complete);
+            (start, searched) = (end, end);
         }
+        pending.drain(..start);
+        self.partial = pending;
         if self.partial.len() > MAX_EVENT_BYTES {
             complete.append(&mut self.partial);
         }
         complete
     }
 
+    /// Appends `event` to `complete` unless the caller already has it.
+    fn complete(&mut self, event: &[u8], complete: &mut Vec<u8>) {
+        if let Some(id) = event_id(event) {
+            if self.is_duplicate(&id) {
+                return;
+            }
+            self.last = Some(id);
+        }
+        self.count += 1;
+        complete.extend_from_slice(event);
+    }
+
     /// Returns the remaining bytes at the end of the stream.
     pub fn finish(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.partial)
@@ -79,20 +87,15 @@
     }
 }
 
-/// Length in bytes of the first event, including the empty line that ends it; `None` if it is incomplete.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let mut start = 0;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[start..index];
-        if line.is_empty() || line == b"\r" {
-            return Some(index + 1);
-        }
-        start = index + 1;
-    }
-    None
+/// End of the event that begins at `start`, including the empty line that ends it; `None` if it is incomplete.
+///
+/// The bytes before `searched` hold no such end.
+fn event_end(bytes: &[u8], start: usize, searched: usize) -> Option<usize> {
+    let line_breaks = (searched..bytes.len()).filter(|index| bytes[*index] == b'\n');
+    line_breaks.map(|index| index + 1).find(|end| {
+        let event = &bytes[start..*end];
+        matches!(event, b"\n" | b"\r\n") || event.ends_with(b"\n\n") || event.ends_with(b"\n\r\n")
+    })
 }
 
 fn event_id(event: &[u8]) -> Option<Box<str>> {
--- a/router/src/framing.rs
+++ b/router/src/framing.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::{self, Display, Formatter};
 
-/// Longest chunk-size or trailer line.
+/// Longest chunk-size line or trailer section.
 const MAX_LINE_BYTES: usize = 4 << 10;
 
 /// How the end of a body is determined.
@@ -36,8 +36,8 @@
     Data(u64),
     /// Before the line break after a chunk.
     LineBreak,
-    /// Within the trailer section.
-    Trailer,
+    /// Within the trailer section; holds the number of its bytes so far.
+    Trailer(usize),
     /// Until the connection closes.
     Close,
     Done,
@@ -94,7 +94,7 @@
                 State::Data(left) => self.data(rest, left, body),
                 State::Size => self.size(rest)?,
                 State::LineBreak => self.line_break(rest)?,
-                State::Trailer => self.trailer(rest)?,
+                State::Trailer(length) => self.trailer(rest, length)?,
             };
             if step == 0 {
                 return Ok(used);
@@ -119,7 +119,7 @@
         match httparse::parse_chunk_size(input) {
             Ok(httparse::Status::Complete((used, size))) => {
                 self.state = if size == 0 {
-                    State::Trailer
+                    State::Trailer(0)
                 } else {
                     State::Data(size)
                 };
@@ -141,17 +141,18 @@
         }
     }
 
-    fn trailer(&mut self, input: &[u8]) -> Result<usize, Malformed> {
-        let Some(end) = input.windows(2).position(|pair| pair == b"\r\n") else {
-            return if input.len() < MAX_LINE_BYTES {
-                Ok(0)
-            } else {
-                Err(Malformed)
-            };
-        };
-        if end == 0 {
-            self.state = State::Done;
+    fn trailer(&mut self, input: &[u8], length: usize) -> Result<usize, Malformed> {
+        let line = input.windows(2).position(|pair| pair == b"\r\n");
+        if length + line.unwrap_or(input.len()) >= MAX_LINE_BYTES {
+            return Err(Malformed);
         }
+        let Some(end) = line else {
+            return Ok(0);
+        };
+        self.state = match end {
+            0 => State::Done,
+            end => State::Trailer(length + end + 2),
+        };
         Ok(end + 2)
     }
 }
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -7,7 +7,7 @@
 use almondwell_core::upstream::{State, Upstream};
 use almondwell_platform::decode;
 use almondwell_schema::{Ask, Datagram, Digest, Frame, Held, Registration, Suspect};
-use almondwell_wire::{Connection, Seal};
+use almondwell_wire::{Connection, Seal, Turn};
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
@@ -80,7 +80,9 @@
 
 /// Serves other entries' requests for the contents of the store, forever.
 pub(crate) async fn serve(router: Arc<Router>, listener: TcpListener) {
+    let turn = Turn::default();
     loop {
+        turn.wait().await;
         match listener.accept().await {
             Ok((stream, _)) => {
                 let router = router.clone();
--- a/router/src/response.rs
+++ b/router/src/response.rs
@@ -7,8 +7,8 @@
 use std::io::Write;
 use std::time::Duration;
 
-/// Longest response head; upstreams send a few hundred bytes.
-const MAX_HEAD_BYTES: usize = 32 << 10;
+/// Longest response head, with the interim responses before it; upstreams send a few hundred bytes.
+pub(crate) const MAX_HEAD_BYTES: usize = 32 << 10;
 
 /// Head of an upstream's response.
 #[derive(Clone, Debug)]
@@ -36,7 +36,7 @@
         let mut response = httparse::Response::new(&mut storage);
         let length = match response.parse(bytes) {
             Ok(httparse::Status::Complete(length)) => length,
-            Ok(httparse::Status::Partial) if bytes.len() < MAX_HEAD_BYTES => return Ok(None),
+            Ok(httparse::Status::Partial) if bytes.len() <= MAX_HEAD_BYTES => return Ok(None),
             Ok(httparse::Status::Partial) | Err(_) => return Err(Malformed),
         };
         let status = response.code.ok_or(Malformed)?;
--- a/router/tests/events.rs
+++ b/router/tests/events.rs
@@ -47,3 +47,34 @@
     assert_eq!(events.push(text.as_bytes()), text.as_bytes());
     assert_eq!(events.last(), None);
 }
+
+/// An upstream may send empty events without end; the work for each byte must not grow with what was read.
+#[test]
+fn splits_many_empty_events_in_little_time() {
+    const COUNT: usize = 1 << 20;
+    let start = std::time::Instant::now();
+    let mut events = Events::after(None);
+    let text = "\n".repeat(COUNT);
+    assert_eq!(events.push(text.as_bytes()).len(), COUNT);
+    // A copy of the rest for each event would move 512 GiB.
+    assert!(start.elapsed().as_secs() < 5, "{:?}", start.elapsed());
+}
+
+/// An event may arrive byte by byte, with the end of its line split.
+#[test]
+fn splits_events_that_arrive_in_pieces() {
+    for step in [1, 2, 3, 5] {
+        let text = "id: 1\r\ndata: a\r\n\r\n\n\r\nid: 2\ndata: b\n\n";
+        let mut events = Events::after(None);
+        let mut relayed = Vec::new();
+        for piece in text.as_bytes().chunks(step) {
+            relayed.append(&mut events.push(piece));
+        }
+        assert_eq!(relayed, text.as_bytes(), "pieces of {step}");
+        assert_eq!(
+            (events.last(), events.count()),
+            (Some("2"), 4),
+            "pieces of {step}"
+        );
+    }
+}
--- a/router/tests/framing.rs
+++ b/router/tests/framing.rs
@@ -56,6 +56,7 @@
     rejects_an_invalid_chunk_size: b"xyz\r\nabc\r\n";
     rejects_a_chunk_longer_than_its_size: b"2\r\nabc\r\n0\r\n\r\n";
     rejects_an_overflowing_chunk_size: b"fffffffffffffffff\r\n";
+    rejects_trailers_without_end: &[b"0\r\n".as_slice(), &b"X-Trailer: one\r\n".repeat(1000)].concat();
 }
 
 #[test]
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -1282,6 +1282,8 @@
     pub grace: Duration,
     /// Time of undisturbed running after which the time limits of the platform bind.
     pub contact: Duration,
+    /// Bytes of an answer's body that are read; an upstream that sends more has failed.
+    pub max_answer: u64,
     /// Retries that all entries may send for each request to a service.
     pub retry_ratio: Ratio,
     /// Retries that all entries may send beside the ratio in one window.
@@ -1307,6 +1309,7 @@
             drain: crate::parse_default("2500ms"),
             grace: crate::parse_default("8s"),
             contact: crate::parse_default("4s"),
+            max_answer: crate::parse_default("16777216"),
             retry_ratio: crate::parse_default("0.2"),
             retry_allowance: crate::parse_default("50"),
             retry_window: crate::parse_default("10s"),
@@ -1390,6 +1393,11 @@
             default: "4s",
             description: "Time of undisturbed running after which the time limits of the platform bind.",
         },
+        Key {
+            name: "max_answer",
+            default: "16777216",
+            description: "Bytes of an answer's body that are read; an upstream that sends more has failed.",
+        },
         Key {
             name: "retry_ratio",
             default: "0.2",
@@ -1468,6 +1476,10 @@
                 self.contact = <Duration as Setting>::read(value)
                     .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
             }
+            "max_answer" => {
+                self.max_answer = <u64 as Setting>::read(value)
+                    .ok_or(Unset::Expected(<u64 as Setting>::EXPECTED))?;
+            }
             "retry_ratio" => {
                 self.retry_ratio = <Ratio as Setting>::read(value)
                     .ok_or(Unset::Expected(<Ratio as Setting>::EXPECTED))?;
--- a/side/src/listener.rs
+++ b/side/src/listener.rs
@@ -3,7 +3,7 @@
 use crate::call;
 use crate::side::Side;
 use almondwell_daemon::{Limiter, sends_first_byte};
-use almondwell_wire::Connection;
+use almondwell_wire::{Connection, Turn};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use std::sync::Arc;
@@ -14,7 +14,9 @@
 /// Accepts and serves connections until the process ends.
 pub(crate) async fn accept(side: Arc<Side>, listener: TcpListener) {
     let limiter = Limiter::new(side.settings.connections as usize);
+    let turn = Turn::default();
     loop {
+        turn.wait().await;
         match listener.accept().await {
             Ok((tcp, _)) => admit(&side, &limiter, tcp),
             Err(_) => task::sleep(ACCEPT_RETRY_DELAY).await,
--- a/side/src/upstream.rs
+++ b/side/src/upstream.rs
@@ -5,13 +5,17 @@
 use crate::sink::Sink;
 use crate::{drain, fencing};
 use almondwell_schema::{Chunk, Crash, End, Fault, Head, Header, Reason, Run, Ticket, Verdict};
-use almondwell_wire::Error;
+use almondwell_wire::{Allowance, Error, Inflow};
 use async_std::io::ReadExt;
 use async_std::net::TcpStream;
 use http_types::{Method, Request, Response, StatusCode};
 use std::time::Duration;
 
 const READ_BUFFER_BYTES: usize = 16 << 10;
+/// Longest head of an answer, and what the HTTP client reads ahead of the body.
+const MAX_HEAD_BYTES: u64 = 64 << 10;
+/// Longest body of an answer: a stream of a hundred thousand tokens, in events of some hundred bytes.
+const MAX_BODY_BYTES: u64 = 64 << 20;
 
 /// Runs `run` at the upstream and writes the response, or a fault, to `sink`.
 ///
@@ -34,7 +38,11 @@
         }
     };
     tcp.set_nodelay(true)?;
-    match async_h1::connect(tcp, request(side, run)).await {
+    let allowance = Allowance::new(MAX_HEAD_BYTES);
+    let inflow = Inflow::new(tcp, allowance.clone());
+    let response = async_h1::connect(inflow, request(side, run)).await;
+    allowance.set(MAX_BODY_BYTES);
+    match response {
         Ok(response) if is_fenced_off(side, &response) => {
             let detail = "another process gives the upstream its orders now";
             spdlog::error!("side superseded: upstream rejected its fencing token", kv: {
--- a/wire/src/connection.rs
+++ b/wire/src/connection.rs
@@ -2,7 +2,7 @@
 
 use crate::memory::Reservation;
 use crate::traffic::{RECEIVED, SENT};
-use crate::{Error, Seal};
+use crate::{Error, Seal, Turn};
 use almondwell_schema::Frame;
 use async_std::future::timeout;
 use async_std::io::prelude::{ReadExt, WriteExt};
@@ -22,6 +22,7 @@
 pub struct Connection {
     seal: Seal,
     tcp: TcpStream,
+    turn: Turn,
 }
 
 impl Connection {
@@ -33,7 +34,11 @@
     /// Wraps an accepted connection and disables Nagle's algorithm on it.
     pub fn from_tcp(tcp: TcpStream, seal: Seal) -> Result<Self, Error> {
         tcp.set_nodelay(true)?;
-        Ok(Self { seal, tcp })
+        Ok(Self {
+            seal,
+            tcp,
+            turn: Turn::default(),
+        })
     }
 
     /// Address of the peer.
@@ -77,6 +82,7 @@
     }
 
     async fn read_first_byte(&mut self) -> Result<Option<u8>, Error> {
+        self.turn.wait().await;
         let mut first = [0];
         let read = self.tcp.read(&mut first).await?;
         Ok((read > 0).then_some(first[0]))
@@ -101,6 +107,7 @@
         let mut sealed = Vec::new();
         let mut reservation = Reservation::default();
         while sealed.len() < length {
+            self.turn.wait().await;
             let step = READ_STEP_BYTES.min(length - sealed.len());
             reservation.grow(step).map_err(io_error)?;
             let read = (&mut self.tcp)
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -3,13 +3,17 @@
 
 mod connection;
 mod error;
+mod inflow;
 mod memory;
 mod seal;
 mod socket;
 mod traffic;
+mod turn;
 
 pub use connection::{Connection, MAX_FRAME_BYTES};
 pub use error::Error;
+pub use inflow::{Allowance, Inflow};
 pub use seal::Seal;
 pub use socket::{MAX_DATAGRAM_BYTES, Socket};
 pub use traffic::Traffic;
+pub use turn::Turn;
--- a/wire/src/socket.rs
+++ b/wire/src/socket.rs
@@ -1,7 +1,7 @@
 //! Datagrams over UDP.
 
 use crate::traffic::{RECEIVED, SENT};
-use crate::{Error, Seal};
+use crate::{Error, Seal, Turn};
 use almondwell_schema::Datagram;
 use async_std::net::UdpSocket;
 use futures_lite::future::{block_on, poll_once};
@@ -14,6 +14,7 @@
 /// A UDP socket that sends and receives authenticated datagrams.
 pub struct Socket {
     seal: Seal,
+    turn: Turn,
     udp: UdpSocket,
 }
 
@@ -21,7 +22,11 @@
     /// Binds to `address`.
     pub async fn bind(address: SocketAddr, seal: Seal) -> Result<Self, Error> {
         let udp = UdpSocket::bind(address).await?;
-        Ok(Self { seal, udp })
+        Ok(Self {
+            seal,
+            turn: Turn::default(),
+            udp,
+        })
     }
 
     /// Address the socket is bound to.
@@ -32,6 +37,7 @@
     /// Receives the next datagram with its sender's address. After an error about an invalid datagram
     /// ([`Error::Forged`], [`Error::Malformed`]), the socket can still be used.
     pub async fn receive(&self) -> Result<(Datagram, SocketAddr), Error> {
+        self.turn.wait().await;
         let mut buffer = [0; MAX_DATAGRAM_BYTES];
         let (length, from) = self.udp.recv_from(&mut buffer).await?;
         RECEIVED.count_datagram(length);
