Let one entry assign the requests to each group of a service's engines

Cause: an entry sees only its own requests at an engine. Change: entries ask the scheduler of the service, found by rendezvous hashing, by one datagram (Demand, Assigned); they report first tokens and ends (Started, Released). core::scheduler weighs for each engine its queue of prefills, the parts of the prompt that it lacks, pauses and deadlines of the requests there by rank, failures and overdue first tokens; it refuses what would cost others more.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -27,6 +27,7 @@
 mod reservation;
 pub mod retries;
 mod sampler;
+pub mod scheduler;
 mod service_times;
 mod settings;
 pub mod stored;
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -8,7 +8,8 @@
 use crate::request::{MAX_HEADERS, Request};
 use crate::response::Head;
 use crate::router::{Router, milliseconds};
-use crate::selection::{Selection, base_limit, select};
+use crate::scheduling::{self, Assignee};
+use crate::selection::{self, Selection, base_limit};
 use crate::{crash, events::Events};
 use almondwell_core::table::Retry;
 use almondwell_platform::headers::{self, Envelope};
@@ -70,7 +71,9 @@
         ..History::default()
     };
     loop {
-        let (backend, view) = match select(delivery, &history) {
+        let (selection, assignee) = select(delivery, &history).await;
+        delivery.progress.set_assignee(assignee);
+        let (backend, view) = match selection {
             Selection::Selected(backend, view) => (backend, view),
             Selection::Overloaded(wait) => return refuse_overloaded(delivery, wait),
             Selection::None => return give_up(delivery, history, Reason::NoUpstream).await,
@@ -130,6 +133,16 @@
     }
 }
 
+/// Selects the upstream for the next send. Engines are assigned by the entry that schedules them, if it answers.
+async fn select(delivery: Delivery<'_>, history: &History) -> (Selection, Option<Assignee>) {
+    if delivery.admitted.band.is_some()
+        && let Some(selected) = scheduling::select(delivery, history).await
+    {
+        return selected;
+    }
+    (selection::select(delivery, history), None)
+}
+
 fn take_retry(delivery: Delivery<'_>) -> bool {
     let Delivery {
         admitted, router, ..
@@ -158,7 +171,7 @@
     match backend.connection(is_retryable, remaining(delivery)).await {
         Ok(connection) => Some(connection),
         Err(error) => {
-            backend.record_failure(delivery.router.now());
+            record_failure(delivery, backend);
             spdlog::info!("connecting to upstream failed", kv: {
                 request = attempt_id(delivery.request), upstream = backend.upstream.id.as_ref(),
                 error = error.to_string()
@@ -199,7 +212,7 @@
     {
         Ok(head) => head,
         Err(error) => {
-            backend.record_failure(router.now());
+            record_failure(delivery, backend);
             return SendOutcome::Error(error);
         }
     };
@@ -215,9 +228,9 @@
     progress.set_queued(None);
     match &sent {
         SendOutcome::Completed { .. } => backend.record_success(router.now()),
-        SendOutcome::Error(_) => backend.record_failure(router.now()),
+        SendOutcome::Error(_) => record_failure(delivery, backend),
         SendOutcome::Failed(failure) if failure.head.status >= 500 => {
-            backend.record_failure(router.now());
+            record_failure(delivery, backend);
         }
         SendOutcome::CallerClosed | SendOutcome::Failed(_) | SendOutcome::NotRun => {}
     }
@@ -229,6 +242,12 @@
     sent
 }
 
+/// Records a failure of an upstream, also for its scheduler.
+fn record_failure(delivery: Delivery<'_>, backend: &Backend) {
+    backend.record_failure(delivery.router.now());
+    delivery.progress.fail_assignee();
+}
+
 /// Validates a response and relays it, unless it is an error response or not for this request.
 async fn handle_response(
     delivery: Delivery<'_>,
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -21,6 +21,7 @@
 mod request;
 mod response;
 mod router;
+mod scheduling;
 mod selection;
 mod serve;
 mod services;
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -26,6 +26,7 @@
     pub(crate) retries: Counter,
     pub(crate) table_version: Gauge,
     pub(crate) duration: Histogram,
+    pub(crate) unanswered_demands: Counter,
 }
 
 impl Default for Metrics {
@@ -37,6 +38,7 @@
             retries: Counter::default(),
             table_version: Gauge::default(),
             duration: Histogram::new(BUCKETS),
+            unanswered_demands: Counter::default(),
         }
     }
 }
@@ -71,6 +73,11 @@
             "Version of the configuration in force",
             self.table_version.clone(),
         );
+        registry.register(
+            "unanswered_demands",
+            "Demands that their scheduler did not answer in time",
+            self.unanswered_demands.clone(),
+        );
         registry
     }
 
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -3,6 +3,7 @@
 
 use crate::crash;
 use crate::router::Router;
+use crate::scheduling;
 use almondwell_core::fleet::Source;
 use almondwell_core::upstream::{State, Upstream};
 use almondwell_platform::decode;
@@ -67,6 +68,13 @@
                     });
                 }
             }
+            Ok((
+                datagram @ (Datagram::Assigned(_)
+                | Datagram::Demand(_)
+                | Datagram::Released(_)
+                | Datagram::Started(_)),
+                _,
+            )) => scheduling::handle(&router, datagram),
             Ok((_, from)) => {
                 spdlog::debug!("unexpected datagram ignored", kv: { from = from.to_string() });
             }
@@ -255,6 +263,6 @@
     Seal::new(&router.settings.secret)
 }
 
-fn lock_peers(router: &Router) -> MutexGuard<'_, Peers> {
+pub(crate) fn lock_peers(router: &Router) -> MutexGuard<'_, Peers> {
     router.peers.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -3,6 +3,7 @@
 use crate::backend::Backend;
 use crate::drain::Drain;
 use crate::metrics::Metrics;
+use crate::scheduling::Scheduling;
 use crate::services::Services;
 use almondwell_core::fleet::{self, Change, Fleet};
 use almondwell_core::peers::{self, Peers};
@@ -43,6 +44,7 @@
     ready: ArcSwap<Ready>,
     /// Region of each availability zone.
     regions: BTreeMap<Box<str>, Box<str>>,
+    pub(crate) scheduling: Scheduling,
     pub(crate) settings: RouterSettings,
     /// Socket for datagrams between entries.
     pub(crate) socket: Socket,
@@ -82,6 +84,7 @@
             quarantine: Mutex::default(),
             ready: ArcSwap::default(),
             regions,
+            scheduling: Scheduling::default(),
             socket,
             store: Store::new(settings.store),
             settings,
@@ -228,13 +231,15 @@
 
     /// Distance between an availability zone and this entry.
     pub(crate) fn distance(&self, zone: &str) -> placement::Distance {
-        if *zone == *self.settings.zone {
+        self.distance_between(&self.settings.zone, zone)
+    }
+
+    /// Distance between two availability zones.
+    pub(crate) fn distance_between(&self, from: &str, to: &str) -> placement::Distance {
+        let region = |zone| self.regions.get(zone);
+        if from == to {
             placement::Distance::Zone
-        } else if self
-            .regions
-            .get(zone)
-            .is_some_and(|region| *region == self.settings.region)
-        {
+        } else if region(from).is_some() && region(from) == region(to) {
             placement::Distance::Region
         } else {
             placement::Distance::Far
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -241,6 +241,66 @@
     /// Some requests that are suspected of crashing upstreams.
     pub suspects: Vec<Suspect>,
 }
+/// A part of a prompt.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PromptPart {
+    /// Identifier; equal for equal text after equal preceding parts.
+    pub id: u64,
+    pub tokens: u32,
+}
+/// Asks the entry that schedules a service's engines where to send a request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Demand {
+    /// Address for the assignment.
+    pub control: SocketAddr,
+    pub ticket: Ticket,
+    pub service: Box<str>,
+    /// Availability zone of the entry that asks.
+    pub zone: Box<str>,
+    /// Urgency; 0 is the most urgent.
+    pub rank: u8,
+    /// Whether the request may be refused.
+    pub refusable: bool,
+    /// Target time between two events of a stream.
+    pub gap: Duration,
+    /// Time until its deadline.
+    pub deadline: Duration,
+    /// Time until its first token is late.
+    pub target: Duration,
+    /// Prompt tokens that no other request shares.
+    pub own: u32,
+    /// Parts of the prompt that other requests share, in order.
+    pub parts: Vec<PromptPart>,
+    /// Expected output tokens.
+    pub output: u32,
+    /// Engines that cannot take the request.
+    pub excluded: Vec<u64>,
+}
+/// Answers a demand.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Assigned {
+    pub ticket: Ticket,
+    /// The engine; 0 for none.
+    pub engine: u64,
+    /// Whether the engine holds the shared prompt parts.
+    pub held: bool,
+    /// Expected wait before the prefill; without an engine, the wait for which the request is refused, or 0 if no engine is known.
+    pub wait: Duration,
+}
+/// Tells the entry that schedules that a request got its first token.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Started {
+    pub ticket: Ticket,
+    pub service: Box<str>,
+}
+/// Tells the entry that schedules that a request has left its engine.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Released {
+    pub ticket: Ticket,
+    pub service: Box<str>,
+    /// Whether the engine has failed.
+    pub failed: bool,
+}
 /// UDP message between two processes.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Datagram {
@@ -255,6 +315,10 @@
     Suspect(Suspect),
     Withdraw(Withdraw),
     Digest(Digest),
+    Demand(Demand),
+    Assigned(Assigned),
+    Started(Started),
+    Released(Released),
 }
 impl From<Alive> for Datagram {
     fn from(value: Alive) -> Self {
@@ -311,6 +375,26 @@
         Self::Digest(value)
     }
 }
+impl From<Demand> for Datagram {
+    fn from(value: Demand) -> Self {
+        Self::Demand(value)
+    }
+}
+impl From<Assigned> for Datagram {
+    fn from(value: Assigned) -> Self {
+        Self::Assigned(value)
+    }
+}
+impl From<Started> for Datagram {
+    fn from(value: Started) -> Self {
+        Self::Started(value)
+    }
+}
+impl From<Released> for Datagram {
+    fn from(value: Released) -> Self {
+        Self::Released(value)
+    }
+}
 /// One HTTP header.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Header {
