--- a/router/src/scheduling.rs
+++ b/router/src/scheduling.rs
@@ -196,7 +196,13 @@
 async fn ask(router: &Arc<Router>, demand: Demand, scheduler: SocketAddr) -> Option<Assigned> {
     let ticket = demand.ticket;
     let (sender, receiver) = bounded(1);
-    let _awaited = Awaited { router, ticket };
+    let mut awaited = Awaited {
+        is_answered: false,
+        router,
+        scheduler,
+        service: demand.service.clone(),
+        ticket,
+    };
     lock(&router.scheduling.demands).insert(ticket, sender);
     if let Err(error) = router.socket.send(&demand.into(), scheduler).await {
         spdlog::debug!("sending datagram failed", kv: {
@@ -207,6 +213,7 @@
     let answer = timeout(ANSWER_TIMEOUT, receiver.recv()).await;
     let mut silent = lock(&router.scheduling.silent);
     if let Ok(Ok(assigned)) = answer {
+        awaited.is_answered = true;
         silent.remove(&scheduler);
         return Some(assigned);
     }
@@ -220,15 +227,28 @@
     None
 }
 
-/// Forgets a demand when dropped.
+/// Forgets a demand when dropped, and releases what a late answer would assign.
 struct Awaited<'a> {
+    is_answered: bool,
     router: &'a Router,
+    scheduler: SocketAddr,
+    service: Box<str>,
     ticket: Ticket,
 }
 
 impl Drop for Awaited<'_> {
     fn drop(&mut self) {
         lock(&self.router.scheduling.demands).remove(&self.ticket);
+        if !self.is_answered {
+            let released = Released {
+                ticket: self.ticket,
+                service: self.service.clone(),
+                failed: false,
+            };
+            self.router
+                .socket
+                .send_now(&released.into(), self.scheduler);
+        }
     }
 }
 
