--- a/fakes/src/process.rs
+++ b/fakes/src/process.rs
@@ -3,9 +3,9 @@
 use eyre::{Result, WrapErr, bail, ensure};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::OnceLock;
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 /// A child process that is killed when dropped.
@@ -71,9 +71,9 @@
 
     /// Sends the signal `name`, such as `STOP`, `CONT` or `TERM`.
     pub fn signal(&self, name: &str) -> Result<()> {
-        let status = Command::new("kill")
-            .args([format!("-{name}"), self.id().to_string()])
-            .status()?;
+        let mut command = Command::new("kill");
+        command.args([format!("-{name}"), self.id().to_string()]);
+        let status = spawn_exclusively(&mut command)?.wait()?;
         ensure!(
             status.success(),
             "cannot send SIG{name} to process {}",
@@ -120,9 +120,26 @@
 }
 
 fn start(command: &mut Command, program: &str) -> Result<Child> {
+    spawn_exclusively(command).wrap_err_with(|| format!("cannot start `{program}`"))
+}
+
+/// Held while a process is forked or an address is checked: a forked process holds all sockets until it runs its
+/// program, so that an address whose check has ended would still be in use.
+static FORK: Mutex<()> = Mutex::new(());
+
+/// Runs a command to its end; returns its output.
+pub fn output(command: &mut Command) -> std::io::Result<Output> {
     command
-        .spawn()
-        .wrap_err_with(|| format!("cannot start `{program}`"))
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped());
+    spawn_exclusively(command)?.wait_with_output()
+}
+
+/// Starts a process while no address is checked; returns after it runs its program.
+fn spawn_exclusively(command: &mut Command) -> std::io::Result<Child> {
+    let _guard = FORK.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn()
 }
 
 /// Path of the workspace program `name`, built in the profile of the current process.
@@ -170,6 +187,7 @@
     const FIRST_PORT: u64 = 10_000;
     const PORT_COUNT: u64 = 22_000;
     static NEXT: AtomicU64 = AtomicU64::new(0);
+    let _guard = FORK.lock().unwrap_or_else(PoisonError::into_inner);
     for _ in 0..PORT_COUNT {
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
         let offset = (u64::from(std::process::id()) * 127 + step) % PORT_COUNT;
--- a/fakes/src/server.rs
+++ b/fakes/src/server.rs
@@ -40,7 +40,15 @@
     H: Fn(Request) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = http_types::Result<Response>> + Send + 'static,
 {
-    let listener = TcpListener::bind(address).await?;
+    serve(TcpListener::bind(address).await?, handle).await
+}
+
+/// As [`listen`], on a socket that listens already.
+pub async fn serve<H, F>(listener: TcpListener, handle: H) -> Result<()>
+where
+    H: Fn(Request) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = http_types::Result<Response>> + Send + 'static,
+{
     loop {
         let (tcp, _) = listener.accept().await?;
         tcp.set_nodelay(true)?;
--- a/fakes/src/set.rs
+++ b/fakes/src/set.rs
@@ -9,7 +9,7 @@
 pub use settings::Settings;
 
 use crate::http::{self, Answer};
-use crate::process::{Process, free_address, path};
+use crate::process::{Process, free_address, output, path};
 use crate::proxy::Proxy;
 use almondwell_configuration::KEY;
 use almondwell_platform::Objects;
@@ -125,7 +125,7 @@
             std::fs::write(&file, service)?;
             command.arg(file);
         }
-        let output = async_std::task::spawn_blocking(move || command.output()).await?;
+        let output = async_std::task::spawn_blocking(move || output(&mut command)).await?;
         let errors = String::from_utf8_lossy(&output.stderr);
         ensure!(
             output.status.success(),
--- a/tests/src/publish.rs
+++ b/tests/src/publish.rs
@@ -2,7 +2,7 @@
 
 use async_std::task;
 use eyre::Result;
-use fakes::process::path;
+use fakes::process::{output, path};
 use fakes::set::{DRAFTING, ORDERS, Set};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -58,7 +58,7 @@
             std::fs::write(&file, text)?;
             command.arg(file);
         }
-        let output = command.output()?;
+        let output = output(&mut command)?;
         let text = String::from_utf8_lossy(&output.stdout);
         let version = text
             .trim()
--- a/tests/tests/cases.rs
+++ b/tests/tests/cases.rs
@@ -43,10 +43,7 @@
 fn run(folder: &Utf8Path, command: &str) -> Result<String> {
     let mut words = command.split_whitespace();
     let program = process::path(words.next().unwrap_or_default())?;
-    let output = Command::new(program)
-        .args(words)
-        .current_dir(folder)
-        .output()
+    let output = process::output(Command::new(program).args(words).current_dir(folder))
         .wrap_err_with(|| format!("cannot run `{command}`"))?;
     let code = output
         .status
--- a/tests/tests/cli.rs
+++ b/tests/tests/cli.rs
@@ -3,7 +3,7 @@
 
 use almondwell_schema::{EntrySettings, Key, Settings, SideSettings};
 use eyre::{Result, ensure};
-use fakes::process::{free_address, path};
+use fakes::process::{free_address, output, path};
 use std::net::TcpListener;
 use std::process::Command;
 
@@ -53,7 +53,7 @@
             command.args([format!("--{other}"), free_address()?.to_string()]);
         }
     }
-    let output = command.output()?;
+    let output = output(&mut command)?;
     let errors = String::from_utf8(output.stderr)?;
     ensure!(!output.status.success());
     let expected = format!("{program}: cannot listen on {key} = {address}: ");
@@ -62,7 +62,7 @@
 }
 
 fn lists_keys(program: &str, arguments: &[&str], keys: &[Key]) -> Result<()> {
-    let output = Command::new(path(program)?).args(arguments).output()?;
+    let output = output(Command::new(path(program)?).args(arguments))?;
     ensure!(output.status.success());
     ensure!(output.stderr.is_empty());
     let text = String::from_utf8(output.stdout)?;
--- a/tests/tests/docs.rs
+++ b/tests/tests/docs.rs
@@ -6,7 +6,7 @@
 };
 use eyre::{Result, ensure, eyre};
 use fakes::http::{call, request};
-use fakes::process::path;
+use fakes::process::{output, path};
 use fakes::set::{Set, Settings};
 use http_types::Method;
 use std::collections::BTreeMap;
@@ -132,7 +132,7 @@
     ensure!(readme.contains("\n    cargo run -p bench -- demo\n"));
     ensure!(readme.contains("\n    bin/test\n"));
     ensure!(read(".ci/run")?.lines().last() == Some("bin/test"));
-    let output = Command::new(path("bench")?).arg("demo").output()?;
+    let output = output(Command::new(path("bench")?).arg("demo"))?;
     let text = String::from_utf8(output.stdout)?;
     ensure!(output.status.success(), "{text}");
     ensure!(text.contains("answered  in target"), "{text}");
@@ -225,10 +225,8 @@
     if is_daemon && !words.contains(&"--check") {
         words.push("--check");
     }
-    let output = Command::new(path(words[0])?)
-        .args(&words[1..])
-        .current_dir(folder)
-        .output()?;
+    let mut command_line = Command::new(path(words[0])?);
+    let output = output(command_line.args(&words[1..]).current_dir(folder))?;
     let errors = String::from_utf8_lossy(&output.stderr);
     ensure!(output.status.success(), "{command}: {errors}");
     Ok(String::from_utf8(output.stdout)?)
--- a/tests/tests/report.rs
+++ b/tests/tests/report.rs
@@ -1,7 +1,7 @@
 //! Service-level report, status of the instances and exported metrics.
 
 use eyre::{Result, ensure};
-use fakes::process::path;
+use fakes::process::{output, path};
 use fakes::set::{Set, Settings};
 use serde_json::{Value, json};
 use std::process::{Command, Output};
@@ -174,7 +174,7 @@
         command.args(["--entry", &entry.admin.to_string()]);
     }
     command.args(["--side", &set.upstreams[0].admin.to_string()]);
-    let text = stdout(&command.output()?)?;
+    let text = stdout(&output(&mut command)?)?;
     let lines: Vec<Vec<_>> = text
         .lines()
         .map(|line| line.split_whitespace().collect())
@@ -235,7 +235,7 @@
     for entry in &set.entries {
         command.args(["--entry", &entry.admin.to_string()]);
     }
-    Ok(command.output()?)
+    Ok(output(&mut command)?)
 }
 
 fn stdout(output: &Output) -> Result<String> {
