Refuse by strict priority in the scheduler, and schedule only from eight entries on

Change: only harm to requests that are not less urgent refuses one; refusals count for core::precedence; fewer entries than the setting schedule_from select by themselves.

--- a/core/src/scheduler.rs
+++ b/core/src/scheduler.rs
@@ -8,6 +8,7 @@
 use crate::hash;
 use crate::job::PartId;
 use crate::placement::Distance;
+use crate::precedence::Precedence;
 use crate::table::Rank;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -153,7 +154,7 @@
 /// What a request would cost at one engine.
 #[derive(Clone, Copy, Debug)]
 struct Cost {
-    /// Loss of other requests and of the request itself.
+    /// Loss of the request itself and of others that are not less urgent.
     loss: Duration,
     total: Duration,
     wait: Duration,
@@ -166,6 +167,8 @@
     /// Mean time from the expected end of a prefill to the report of the first token, in seconds.
     lag: f64,
     options: Options,
+    /// Recent refusals, by rank.
+    precedence: Precedence,
     tickets: BTreeMap<Ticket, EngineId>,
 }
 
@@ -234,7 +237,10 @@
         let Some((cost, id)) = best else {
             return Assignment::None;
         };
-        if request.is_refusable && cost.loss >= options.harm {
+        let limit = self.precedence.limit(now, request.rank, request.deadline);
+        if request.is_refusable && (cost.loss >= options.harm || cost.wait > limit) {
+            self.precedence
+                .record_refusal(now, request.rank, request.target);
             return Assignment::Overloaded(cost.wait);
         }
         let engine = self.engines.entry(id).or_default();
@@ -339,12 +345,14 @@
             .sum();
         let wait = queue.min(ahead) + delay;
         let first_token = wait + prefill;
-        let mut loss = self.harm(now, request, prefill, queue, options);
-        if first_token + request.output > request.deadline {
-            loss += options.harm;
+        let (harm, urgent_harm) = self.harm(now, request, prefill, queue, options);
+        let own_loss = if first_token + request.output > request.deadline {
+            options.harm
         } else if first_token > request.target {
-            loss += options.lateness;
-        }
+            options.lateness
+        } else {
+            Duration::ZERO
+        };
         let band = match candidate.band {
             Band::Looser => options.looser_band,
             Band::Own => Duration::ZERO,
@@ -359,17 +367,23 @@
         let crowding = options
             .crowding
             .mul_f64(f64::from(streams) / f64::from(candidate.slots.max(1)));
-        let total = loss
+        let total = harm
+            + own_loss
             + queue
             + request.own
             + shared.mul_f64(if is_home { 1.0 } else { options.prefill_weight })
             + band
             + crowding
             + options.distance_wait * steps;
-        Cost { loss, total, wait }
+        Cost {
+            loss: urgent_harm + own_loss,
+            total,
+            wait,
+        }
     }
 
-    /// Loss of the requests at the engine if `prefill` were added to its `queue`.
+    /// Loss of the requests at the engine if `prefill` were added to its `queue`: of all, and of those that are not
+    /// less urgent.
     fn harm(
         &self,
         now: Duration,
@@ -377,27 +391,31 @@
         prefill: Duration,
         queue: Duration,
         options: &Options,
-    ) -> Duration {
+    ) -> (Duration, Duration) {
         let mut strains = BTreeMap::new();
-        let harm: f64 = self
-            .jobs
-            .values()
-            .map(|job| {
-                if job.is_overtaken(now, request.rank) {
-                    let is_late =
-                        job.prefilled_at <= job.target && job.prefilled_at + prefill > job.target;
-                    return weight(request.rank, job.rank) * f64::from(u8::from(is_late));
-                }
-                let (before, after) = *strains.entry(job.gap).or_insert_with(|| {
-                    let strain = |queue| self.strain(now, job.gap, queue, options);
-                    (strain(queue), strain(queue + prefill))
-                });
-                let left = job.deadline.saturating_sub(now + job.output);
-                let misses = queue <= left && queue + prefill > left;
-                weight(request.rank, job.rank) * (f64::from(u8::from(misses)).max(after - before))
-            })
-            .sum();
-        options.harm.mul_f64(harm)
+        let mut likelihood = |job: &Job| {
+            if job.is_overtaken(now, request.rank) {
+                let is_late =
+                    job.prefilled_at <= job.target && job.prefilled_at + prefill > job.target;
+                return f64::from(u8::from(is_late));
+            }
+            let (before, after) = *strains.entry(job.gap).or_insert_with(|| {
+                let strain = |queue| self.strain(now, job.gap, queue, options);
+                (strain(queue), strain(queue + prefill))
+            });
+            let left = job.deadline.saturating_sub(now + job.output);
+            let misses = queue <= left && queue + prefill > left;
+            f64::from(u8::from(misses)).max(after - before)
+        };
+        let (mut all, mut urgent) = (0.0, 0.0);
+        for job in self.jobs.values() {
+            let harm = weight(request.rank, job.rank) * likelihood(job);
+            all += harm;
+            if job.rank <= request.rank {
+                urgent += harm;
+            }
+        }
+        (options.harm.mul_f64(all), options.harm.mul_f64(urgent))
     }
 
     /// Likelihood that a stream with `gap` pauses for longer because of `queue` and the prefills before it.
--- a/core/tests/scheduler.rs
+++ b/core/tests/scheduler.rs
@@ -203,3 +203,34 @@
     assert_eq!(scheduler.assign(ms(0), 1, &chat(), &[]), Assignment::None);
     assert!(scheduler.is_empty());
 }
+
+/// While urgent requests are refused at their band, larger and less urgent ones elsewhere wait no longer than half
+/// of what the urgent ones tolerate.
+#[test]
+fn less_urgent_requests_yield_while_urgent_ones_are_refused() {
+    let mut scheduler = Scheduler::default();
+    let urgent = Request {
+        rank: 0,
+        target: ms(800),
+        ..report(1)
+    };
+    let mut is_refused = false;
+    for ticket in 0..100 {
+        let outcome = scheduler.assign(ms(0), ticket, &urgent, &own(1));
+        is_refused |= matches!(outcome, Assignment::Overloaded(_));
+    }
+    assert!(is_refused, "no urgent request was refused");
+    let mut waits = Vec::new();
+    for ticket in 200..300 {
+        let less_urgent =
+            scheduler.assign(ms(10), ticket, &report(ticket), &[candidate(9, Band::Own)]);
+        if let Assignment::Assigned { wait, .. } = less_urgent {
+            waits.push(wait);
+        }
+    }
+    let longest = waits.into_iter().max().unwrap_or_default();
+    assert!(
+        longest <= ms(400),
+        "a less urgent request waits {longest:?}"
+    );
+}
--- a/router/src/scheduling.rs
+++ b/router/src/scheduling.rs
@@ -109,6 +109,10 @@
         router,
         ..
     } = delivery;
+    let entries = peers::lock_peers(router).count(router.now());
+    if entries < router.settings.schedule_from as usize {
+        return None;
+    }
     let ready = router.ready();
     let backends = ready.get(&admitted.service)?;
     let ticket = rand::rng().random();
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -1368,6 +1368,8 @@
     pub contact: Duration,
     /// Bytes of an answer's body that are read; an upstream that sends more has failed.
     pub max_answer: u64,
+    /// Number of entries from which one of them schedules the requests of all to an engine; fewer see enough of its load themselves.
+    pub schedule_from: u32,
     /// Retries that all entries may send for each request to a service.
     pub retry_ratio: Ratio,
     /// Retries that all entries may send beside the ratio in one window.
@@ -1394,6 +1396,7 @@
             grace: crate::parse_default("8s"),
             contact: crate::parse_default("4s"),
             max_answer: crate::parse_default("16777216"),
+            schedule_from: crate::parse_default("8"),
             retry_ratio: crate::parse_default("0.2"),
             retry_allowance: crate::parse_default("50"),
             retry_window: crate::parse_default("10s"),
@@ -1482,6 +1485,11 @@
             default: "16777216",
             description: "Bytes of an answer's body that are read; an upstream that sends more has failed.",
         },
+        Key {
+            name: "schedule_from",
+            default: "8",
+            description: "Number of entries from which one of them schedules the requests of all to an engine; fewer see enough of its load themselves.",
+        },
         Key {
             name: "retry_ratio",
             default: "0.2",
@@ -1564,6 +1572,10 @@
                 self.max_answer = <u64 as Setting>::read(value)
                     .ok_or(Unset::Expected(<u64 as Setting>::EXPECTED))?;
             }
+            "schedule_from" => {
+                self.schedule_from = <u32 as Setting>::read(value)
+                    .ok_or(Unset::Expected(<u32 as Setting>::EXPECTED))?;
+            }
             "retry_ratio" => {
                 self.retry_ratio = <Ratio as Setting>::read(value)
                     .ok_or(Unset::Expected(<Ratio as Setting>::EXPECTED))?;
