--- a/almondwell/src/control.rs
+++ b/almondwell/src/control.rs
@@ -32,11 +32,7 @@
         Datagram::Probe(probe) => return liveness::handle_probe(entry, probe, from).await,
         Datagram::Noted(_)
         | Datagram::Reserve(_)
-        | Datagram::Assigned(_)
-        | Datagram::Demand(_)
         | Datagram::Digest(_)
-        | Datagram::Released(_)
-        | Datagram::Started(_)
         | Datagram::Suspect(_)
         | Datagram::Withdraw(_) => {
             entry.metrics.datagrams_rejected.inc();
--- a/almondwell/src/once.rs
+++ b/almondwell/src/once.rs
@@ -173,11 +173,7 @@
             | Datagram::Noted(_)
             | Datagram::Probe(_)
             | Datagram::Reserve(_)
-            | Datagram::Assigned(_)
-            | Datagram::Demand(_)
             | Datagram::Digest(_)
-            | Datagram::Released(_)
-            | Datagram::Started(_)
             | Datagram::Suspect(_)
             | Datagram::Withdraw(_) => {}
         }
--- a/almondwell/src/reserve.rs
+++ b/almondwell/src/reserve.rs
@@ -124,11 +124,7 @@
             | Datagram::Noted(_)
             | Datagram::Probe(_)
             | Datagram::Reserve(_)
-            | Datagram::Assigned(_)
-            | Datagram::Demand(_)
             | Datagram::Digest(_)
-            | Datagram::Released(_)
-            | Datagram::Started(_)
             | Datagram::Suspect(_)
             | Datagram::Withdraw(_) => Step::Wait,
         }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -27,7 +27,6 @@
 mod reservation;
 pub mod retries;
 mod sampler;
-pub mod scheduler;
 mod service_times;
 mod settings;
 pub mod stored;
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -8,8 +8,7 @@
 use crate::request::{MAX_HEADERS, Request};
 use crate::response::Head;
 use crate::router::{Router, milliseconds};
-use crate::scheduling::{self, Assignee};
-use crate::selection::{self, Selection, base_limit};
+use crate::selection::{Selection, base_limit, select};
 use crate::{crash, events::Events};
 use almondwell_core::table::Retry;
 use almondwell_platform::headers::{self, Envelope};
@@ -71,9 +70,7 @@
         ..History::default()
     };
     loop {
-        let (selection, assignee) = select(delivery, &history).await;
-        delivery.progress.set_assignee(assignee);
-        let (backend, view) = match selection {
+        let (backend, view) = match select(delivery, &history) {
             Selection::Selected(backend, view) => (backend, view),
             Selection::Overloaded(wait) => return refuse_overloaded(delivery, wait),
             Selection::None => return give_up(delivery, history, Reason::NoUpstream).await,
@@ -133,16 +130,6 @@
     }
 }
 
-/// Selects the upstream for the next send. Engines are assigned by the entry that schedules them, if it answers.
-async fn select(delivery: Delivery<'_>, history: &History) -> (Selection, Option<Assignee>) {
-    if delivery.admitted.band.is_some()
-        && let Some(selected) = scheduling::select(delivery, history).await
-    {
-        return selected;
-    }
-    (selection::select(delivery, history), None)
-}
-
 fn take_retry(delivery: Delivery<'_>) -> bool {
     let Delivery {
         admitted, router, ..
@@ -171,7 +158,7 @@
     match backend.connection(is_retryable, remaining(delivery)).await {
         Ok(connection) => Some(connection),
         Err(error) => {
-            record_failure(delivery, backend);
+            backend.record_failure(delivery.router.now());
             spdlog::info!("connecting to upstream failed", kv: {
                 request = attempt_id(delivery.request), upstream = backend.upstream.id.as_ref(),
                 error = error.to_string()
@@ -212,7 +199,7 @@
     {
         Ok(head) => head,
         Err(error) => {
-            record_failure(delivery, backend);
+            backend.record_failure(router.now());
             return SendOutcome::Error(error);
         }
     };
@@ -228,9 +215,9 @@
     progress.set_queued(None);
     match &sent {
         SendOutcome::Completed { .. } => backend.record_success(router.now()),
-        SendOutcome::Error(_) => record_failure(delivery, backend),
+        SendOutcome::Error(_) => backend.record_failure(router.now()),
         SendOutcome::Failed(failure) if failure.head.status >= 500 => {
-            record_failure(delivery, backend);
+            backend.record_failure(router.now());
         }
         SendOutcome::CallerClosed | SendOutcome::Failed(_) | SendOutcome::NotRun => {}
     }
@@ -242,12 +229,6 @@
     sent
 }
 
-/// Records a failure of an upstream, also for its scheduler.
-fn record_failure(delivery: Delivery<'_>, backend: &Backend) {
-    backend.record_failure(delivery.router.now());
-    delivery.progress.fail_assignee();
-}
-
 /// Validates a response and relays it, unless it is an error response or not for this request.
 async fn handle_response(
     delivery: Delivery<'_>,
--- a/router/src/dispatch.rs
+++ b/router/src/dispatch.rs
@@ -5,7 +5,6 @@
 use crate::refusal::{Reason, Refusal};
 use crate::request::Request;
 use crate::router::{Router, milliseconds};
-use crate::scheduling::Assignee;
 use almondwell_core::hash;
 use almondwell_core::quarantine::Treatment;
 use almondwell_core::table::{Rank, Route, Workspace};
@@ -17,7 +16,7 @@
 use rand::Rng;
 use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU16, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 /// Default range of the `Retry-After` time.
@@ -55,8 +54,6 @@
 /// State of a request, shared by its delivery and the deadline and disconnect handlers that run concurrently.
 #[derive(Default)]
 pub(crate) struct Progress {
-    /// The assignment of the current send.
-    assignee: Mutex<Option<Assignee>>,
     /// Backlog entry at the engine that has the request, until its first token.
     queued: Mutex<Option<Queued>>,
     events: AtomicU32,
@@ -70,22 +67,6 @@
 }
 
 impl Progress {
-    /// Replaces the assignment, which reports the end of the one before.
-    pub(crate) fn set_assignee(&self, assignee: Option<Assignee>) {
-        *self.lock_assignee() = assignee;
-    }
-
-    /// Records that the engine of the current assignment has failed.
-    pub(crate) fn fail_assignee(&self) {
-        if let Some(assignee) = &*self.lock_assignee() {
-            assignee.fail();
-        }
-    }
-
-    fn lock_assignee(&self) -> MutexGuard<'_, Option<Assignee>> {
-        self.assignee.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Sets or clears the backlog entry.
     pub(crate) fn set_queued(&self, queued: Option<Queued>) {
         *self.queued.lock().unwrap_or_else(PoisonError::into_inner) = queued;
@@ -98,11 +79,8 @@
             .queued
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .take()?;
-        if let Some(assignee) = &*self.lock_assignee() {
-            assignee.start();
-        }
-        queued.first_token(now)
+            .take();
+        queued.and_then(|queued| queued.first_token(now))
     }
 
     /// Records that the caller has got the start of a response with `status` after `time`.
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -21,7 +21,6 @@
 mod request;
 mod response;
 mod router;
-mod scheduling;
 mod selection;
 mod serve;
 mod services;
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -26,7 +26,6 @@
     pub(crate) retries: Counter,
     pub(crate) table_version: Gauge,
     pub(crate) duration: Histogram,
-    pub(crate) unanswered_demands: Counter,
 }
 
 impl Default for Metrics {
@@ -38,7 +37,6 @@
             retries: Counter::default(),
             table_version: Gauge::default(),
             duration: Histogram::new(BUCKETS),
-            unanswered_demands: Counter::default(),
         }
     }
 }
@@ -73,11 +71,6 @@
             "Version of the configuration in force",
             self.table_version.clone(),
         );
-        registry.register(
-            "unanswered_demands",
-            "Demands that their scheduler did not answer in time",
-            self.unanswered_demands.clone(),
-        );
         registry
     }
 
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -3,7 +3,6 @@
 
 use crate::crash;
 use crate::router::Router;
-use crate::scheduling;
 use almondwell_core::fleet::Source;
 use almondwell_core::upstream::{State, Upstream};
 use almondwell_platform::decode;
@@ -68,13 +67,6 @@
                     });
                 }
             }
-            Ok((
-                datagram @ (Datagram::Assigned(_)
-                | Datagram::Demand(_)
-                | Datagram::Released(_)
-                | Datagram::Started(_)),
-                _,
-            )) => scheduling::handle(&router, datagram),
             Ok((_, from)) => {
                 spdlog::debug!("unexpected datagram ignored", kv: { from = from.to_string() });
             }
@@ -263,6 +255,6 @@
     Seal::new(&router.settings.secret)
 }
 
-pub(crate) fn lock_peers(router: &Router) -> MutexGuard<'_, Peers> {
+fn lock_peers(router: &Router) -> MutexGuard<'_, Peers> {
     router.peers.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -3,7 +3,6 @@
 use crate::backend::Backend;
 use crate::drain::Drain;
 use crate::metrics::Metrics;
-use crate::scheduling::Scheduling;
 use crate::services::Services;
 use almondwell_core::fleet::{self, Change, Fleet};
 use almondwell_core::peers::{self, Peers};
@@ -44,7 +43,6 @@
     ready: ArcSwap<Ready>,
     /// Region of each availability zone.
     regions: BTreeMap<Box<str>, Box<str>>,
-    pub(crate) scheduling: Scheduling,
     pub(crate) settings: RouterSettings,
     /// Socket for datagrams between entries.
     pub(crate) socket: Socket,
@@ -84,7 +82,6 @@
             quarantine: Mutex::default(),
             ready: ArcSwap::default(),
             regions,
-            scheduling: Scheduling::default(),
             socket,
             store: Store::new(settings.store),
             settings,
@@ -231,15 +228,13 @@
 
     /// Distance between an availability zone and this entry.
     pub(crate) fn distance(&self, zone: &str) -> placement::Distance {
-        self.distance_between(&self.settings.zone, zone)
-    }
-
-    /// Distance between two availability zones.
-    pub(crate) fn distance_between(&self, from: &str, to: &str) -> placement::Distance {
-        let region = |zone| self.regions.get(zone);
-        if from == to {
+        if *zone == *self.settings.zone {
             placement::Distance::Zone
-        } else if region(from).is_some() && region(from) == region(to) {
+        } else if self
+            .regions
+            .get(zone)
+            .is_some_and(|region| *region == self.settings.region)
+        {
             placement::Distance::Region
         } else {
             placement::Distance::Far
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -241,66 +241,6 @@
     /// Some requests that are suspected of crashing upstreams.
     pub suspects: Vec<Suspect>,
 }
-/// A part of a prompt.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct PromptPart {
-    /// Identifier; equal for equal text after equal preceding parts.
-    pub id: u64,
-    pub tokens: u32,
-}
-/// Asks the entry that schedules a service's engines where to send a request.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Demand {
-    /// Address for the assignment.
-    pub control: SocketAddr,
-    pub ticket: Ticket,
-    pub service: Box<str>,
-    /// Availability zone of the entry that asks.
-    pub zone: Box<str>,
-    /// Urgency; 0 is the most urgent.
-    pub rank: u8,
-    /// Whether the request may be refused.
-    pub refusable: bool,
-    /// Target time between two events of a stream.
-    pub gap: Duration,
-    /// Time until its deadline.
-    pub deadline: Duration,
-    /// Time until its first token is late.
-    pub target: Duration,
-    /// Prompt tokens that no other request shares.
-    pub own: u32,
-    /// Parts of the prompt that other requests share, in order.
-    pub parts: Vec<PromptPart>,
-    /// Expected output tokens.
-    pub output: u32,
-    /// Engines that cannot take the request.
-    pub excluded: Vec<u64>,
-}
-/// Answers a demand.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Assigned {
-    pub ticket: Ticket,
-    /// The engine; 0 for none.
-    pub engine: u64,
-    /// Whether the engine holds the shared prompt parts.
-    pub held: bool,
-    /// Expected wait before the prefill; without an engine, the wait for which the request is refused, or 0 if no engine is known.
-    pub wait: Duration,
-}
-/// Tells the entry that schedules that a request got its first token.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Started {
-    pub ticket: Ticket,
-    pub service: Box<str>,
-}
-/// Tells the entry that schedules that a request has left its engine.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Released {
-    pub ticket: Ticket,
-    pub service: Box<str>,
-    /// Whether the engine has failed.
-    pub failed: bool,
-}
 /// UDP message between two processes.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Datagram {
@@ -315,10 +255,6 @@
     Suspect(Suspect),
     Withdraw(Withdraw),
     Digest(Digest),
-    Demand(Demand),
-    Assigned(Assigned),
-    Started(Started),
-    Released(Released),
 }
 impl From<Alive> for Datagram {
     fn from(value: Alive) -> Self {
@@ -375,26 +311,6 @@
         Self::Digest(value)
     }
 }
-impl From<Demand> for Datagram {
-    fn from(value: Demand) -> Self {
-        Self::Demand(value)
-    }
-}
-impl From<Assigned> for Datagram {
-    fn from(value: Assigned) -> Self {
-        Self::Assigned(value)
-    }
-}
-impl From<Started> for Datagram {
-    fn from(value: Started) -> Self {
-        Self::Started(value)
-    }
-}
-impl From<Released> for Datagram {
-    fn from(value: Released) -> Self {
-        Self::Released(value)
-    }
-}
 /// One HTTP header.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Header {
@@ -1368,8 +1284,6 @@
     pub contact: Duration,
     /// Bytes of an answer's body that are read; an upstream that sends more has failed.
     pub max_answer: u64,
-    /// Number of entries from which one of them schedules the requests of all to an engine; fewer see enough of its load themselves.
-    pub schedule_from: u32,
     /// Retries that all entries may send for each request to a service.
     pub retry_ratio: Ratio,
     /// Retries that all entries may send beside the ratio in one window.
@@ -1396,7 +1310,6 @@
             grace: crate::parse_default("8s"),
             contact: crate::parse_default("4s"),
             max_answer: crate::parse_default("16777216"),
-            schedule_from: crate::parse_default("8"),
             retry_ratio: crate::parse_default("0.2"),
             retry_allowance: crate::parse_default("50"),
             retry_window: crate::parse_default("10s"),
@@ -1485,11 +1398,6 @@
             default: "16777216",
             description: "Bytes of an answer's body that are read; an upstream that sends more has failed.",
         },
-        Key {
-            name: "schedule_from",
-            default: "8",
-            description: "Number of entries from which one of them schedules the requests of all to an engine; fewer see enough of its load themselves.",
-        },
         Key {
             name: "retry_ratio",
             default: "0.2",
@@ -1572,10 +1480,6 @@
                 self.max_answer = <u64 as Setting>::read(value)
                     .ok_or(Unset::Expected(<u64 as Setting>::EXPECTED))?;
             }
-            "schedule_from" => {
-                self.schedule_from = <u32 as Setting>::read(value)
-                    .ok_or(Unset::Expected(<u32 as Setting>::EXPECTED))?;
-            }
             "retry_ratio" => {
                 self.retry_ratio = <Ratio as Setting>::read(value)
                     .ok_or(Unset::Expected(<Ratio as Setting>::EXPECTED))?;
--- a/side/src/control.rs
+++ b/side/src/control.rs
@@ -52,11 +52,7 @@
             side.grant_free_slots().await;
         }
         Datagram::Suspect(suspect) => side.suspects.merge(side.clock.now(), &suspect),
-        Datagram::Assigned(_)
-        | Datagram::Demand(_)
-        | Datagram::Digest(_)
-        | Datagram::Released(_)
-        | Datagram::Started(_)
+        Datagram::Digest(_)
         | Datagram::Grant(_)
         | Datagram::Leaving(_)
         | Datagram::Queued(_)
