Log streams that end with their connection

`stream ended with its connection` gives the number of whole events and the bytes of an incomplete one.

--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -359,7 +359,7 @@
     Outcome::Refused(Refusal::retryable(reason, retry_after()))
 }
 
-fn attempt_id(request: &Request) -> &str {
+pub(crate) fn attempt_id(request: &Request) -> &str {
     request.job.attempt.as_deref().unwrap_or("-")
 }
 
--- a/router/src/events.rs
+++ b/router/src/events.rs
@@ -66,6 +66,11 @@
         complete.extend_from_slice(event);
     }
 
+    /// Number of bytes of the incomplete event at the end.
+    pub const fn incomplete_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Returns the remaining bytes at the end of the stream.
     pub fn finish(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.partial)
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -1,7 +1,7 @@
 //! Relays responses from upstreams to callers.
 
 use crate::connection::{Connection, Error};
-use crate::delivery::Delivery;
+use crate::delivery::{Delivery, attempt_id};
 use crate::dispatch::Outcome;
 use crate::events::Events;
 use crate::framing::{Decoder, Framing, LAST_CHUNK, write_chunk};
@@ -132,6 +132,9 @@
         if !complete.is_empty() {
             record_first_token(delivery);
         }
+        if is_done && head.framing == Framing::Close {
+            log_unframed_end(delivery, events);
+        }
         if is_done {
             complete.append(&mut events.finish());
         }
@@ -147,6 +150,14 @@
     }
 }
 
+/// Logs the end of a stream that only the end of its connection shows, and what arrived of an incomplete event.
+fn log_unframed_end(delivery: Delivery<'_>, events: &Events) {
+    spdlog::info!("stream ended with its connection", kv: {
+        request = attempt_id(delivery.request), events = events.count(),
+        incomplete_bytes = events.incomplete_bytes()
+    });
+}
+
 /// Relays an upstream's error response.
 pub(crate) async fn error_response(delivery: Delivery<'_>, head: &Head, body: &[u8]) -> Outcome {
     // These statuses promise that the request was not run. The upstream did not say so, so it may have run.
