Treat a stream that ends inside an event as broken off

Callers saw a 200 whose last event was cut and that was framed as complete. The entry took the end of the upstream's connection, or of its chunks, for the end of the stream, and relayed the incomplete event with the last chunk. The end of a connection is no end of a message: a process that crashes closes it too.

Now only whole events are relayed and the send fails, so that the stream resumes at another upstream, or the caller's answer ends without its last chunk. Such a send is also checked for a crashed upstream, as any other failed one is. An answer of another type on a streaming route has no events and is relayed by its framing.

--- a/router/src/connection.rs
+++ b/router/src/connection.rs
@@ -24,6 +24,8 @@
 pub(crate) enum Error {
     /// The upstream closed the connection.
     Closed,
+    /// The stream ended inside an event.
+    IncompleteEvent,
     /// The response is malformed, unsigned, too long or encoded, or belongs to another request.
     InvalidResponse,
     /// Reading from or writing to the connection failed.
@@ -46,6 +48,7 @@
     pub(crate) const fn label(&self) -> &'static str {
         match self {
             Self::Closed => "connection ended",
+            Self::IncompleteEvent => "stream ended inside an event",
             Self::InvalidResponse => "answer is not this request's",
             Self::Io(_) => "connection failed",
             Self::TooLong => "answer is too long",
@@ -55,7 +58,9 @@
     /// The operating system's error message, if any.
     pub(crate) fn detail(&self) -> String {
         match self {
-            Self::Closed | Self::InvalidResponse | Self::TooLong => String::new(),
+            Self::Closed | Self::IncompleteEvent | Self::InvalidResponse | Self::TooLong => {
+                String::new()
+            }
             Self::Io(error) => error.to_string(),
         }
     }
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -258,7 +258,7 @@
     if !metadata.is_signed || metadata.is_encoded || metadata.attempt.is_none() {
         return SendOutcome::Error(Error::InvalidResponse);
     }
-    let relayed = if delivery.admitted.route.is_stream {
+    let relayed = if delivery.admitted.route.is_stream && head.is_event_stream {
         relay::stream(delivery, head, connection, &mut history.events).await
     } else {
         relay::buffered(delivery, head, connection).await
--- a/router/src/events.rs
+++ b/router/src/events.rs
@@ -71,11 +71,6 @@
         self.partial.len()
     }
 
-    /// Returns the remaining bytes at the end of the stream.
-    pub fn finish(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.partial)
-    }
-
     /// Drops the incomplete event of a broken stream, before the stream resumes at another upstream.
     pub fn resume(&mut self) {
         self.partial.clear();
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -113,7 +113,8 @@
     }
 }
 
-/// Relays the events of a stream as they arrive.
+/// Relays the events of a stream as they arrive. A stream that ends inside an event has been broken off, also
+/// if its framing is complete.
 pub(crate) async fn stream(
     delivery: Delivery<'_>,
     head: &Head,
@@ -128,24 +129,26 @@
             Ok(is_done) => is_done,
             Err(error) => return RelayOutcome::Error(error),
         };
-        let mut complete = events.push(&chunk);
+        let complete = events.push(&chunk);
         if !complete.is_empty() {
             record_first_token(delivery);
         }
+        let is_broken_off = is_done && events.incomplete_bytes() > 0;
+        let is_last = is_done && !is_broken_off;
+        if !complete.is_empty() || is_last {
+            delivery.progress.set_events(events.count());
+            if !writer.write(&complete, is_last).await {
+                return RelayOutcome::CallerClosed;
+            }
+        }
         if is_done && head.framing == Framing::Close {
             log_unframed_end(delivery, events);
         }
-        if is_done {
-            complete.append(&mut events.finish());
+        if is_broken_off {
+            return RelayOutcome::Error(Error::IncompleteEvent);
         }
-        if !complete.is_empty() || is_done {
-            delivery.progress.set_events(events.count());
-            if !writer.write(&complete, is_done).await {
-                return RelayOutcome::CallerClosed;
-            }
-            if is_done {
-                return writer.completed();
-            }
+        if is_last {
+            return writer.completed();
         }
     }
 }
--- a/router/src/response.rs
+++ b/router/src/response.rs
@@ -17,6 +17,8 @@
     pub(crate) framing: Framing,
     /// Idle timeout that the upstream states in `Keep-Alive`, if any.
     pub(crate) idle_timeout: Option<Duration>,
+    /// Whether the body is a stream of events; without a `Content-Type`, the route decides.
+    pub(crate) is_event_stream: bool,
     pub(crate) is_keep_alive: bool,
     pub(crate) length: usize,
     pub(crate) metadata: Metadata,
@@ -55,6 +57,9 @@
             bytes: bytes[..length].to_vec(),
             framing,
             idle_timeout,
+            is_event_stream: fields::values(response.headers, "Content-Type")
+                .first()
+                .is_none_or(|value| is_event_stream(value)),
             is_keep_alive: response.version == Some(1) && !is_closing && framing != Framing::Close,
             length,
             metadata: headers::metadata(response.headers),
@@ -88,6 +93,13 @@
     }
 }
 
+fn is_event_stream(content_type: &str) -> bool {
+    content_type
+        .split(';')
+        .next()
+        .is_some_and(|media_type| media_type.trim().eq_ignore_ascii_case("text/event-stream"))
+}
+
 /// The `timeout` parameter of a `Keep-Alive` header.
 fn keep_alive_timeout(value: &str) -> Option<Duration> {
     value
