Treat an unframed stream without an event as broken off

A stream without a length whose connection ended before its first event reached its caller as a complete, empty answer; the same cause as that of the streams that end inside an event. Nothing distinguishes it from the answer of a process that has crashed, and a stream that a route promises has events. It fails now, and is resumed or answered 502. A stream that resumes after its last event may still end without another one.

--- a/router/src/events.rs
+++ b/router/src/events.rs
@@ -28,6 +28,11 @@
         self.count
     }
 
+    /// Whether the caller has no event, neither of this request nor of an earlier one that it resumes.
+    pub const fn is_empty(&self) -> bool {
+        self.count == 0 && self.last.is_none()
+    }
+
     /// Identifier of the last complete event that has one.
     pub fn last(&self) -> Option<&str> {
         self.last.as_deref()
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -114,7 +114,7 @@
 }
 
 /// Relays the events of a stream as they arrive. A stream that ends inside an event has been broken off, also
-/// if its framing is complete.
+/// if its framing is complete, and so has one that ends with its connection before its first event.
 pub(crate) async fn stream(
     delivery: Delivery<'_>,
     head: &Head,
@@ -133,7 +133,9 @@
         if !complete.is_empty() {
             record_first_token(delivery);
         }
-        let is_broken_off = is_done && events.incomplete_bytes() > 0;
+        let is_unframed = head.framing == Framing::Close;
+        let is_incomplete = events.incomplete_bytes() > 0 || (is_unframed && events.is_empty());
+        let is_broken_off = is_done && is_incomplete;
         let is_last = is_done && !is_broken_off;
         if !complete.is_empty() || is_last {
             delivery.progress.set_events(events.count());
@@ -141,7 +143,7 @@
                 return RelayOutcome::CallerClosed;
             }
         }
-        if is_done && head.framing == Framing::Close {
+        if is_done && is_unframed {
             log_unframed_end(delivery, events);
         }
         if is_broken_off {
