Reset the connection of a caller without chunks when its answer is broken off

A caller of HTTP/1.0 gets a stream, or a long answer, that ends with its connection. When the answer broke off, the entry closed the connection in an orderly way, so that the caller took the answer for complete: the same cause as that of the streams that end inside an event, on the callers' side. The connection now ends with a reset.

--- a/router/src/caller.rs
+++ b/router/src/caller.rs
@@ -7,6 +7,7 @@
 use crate::router::Router;
 use almondwell_core::table::Limits;
 use almondwell_daemon::Limiter;
+use almondwell_platform::reset_on_close;
 use almondwell_wire::Turn;
 use async_std::future::timeout;
 use async_std::io::WriteExt;
@@ -51,6 +52,15 @@
     }
 }
 
+/// What happens to a caller's connection after a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Next {
+    Close,
+    KeepAlive,
+    /// The connection ends with a reset: the caller takes an orderly close for the end of its answer.
+    Reset,
+}
+
 /// Serves one connection until it closes.
 async fn serve(router: &Arc<Router>, stream: TcpStream) {
     if let Err(error) = stream.set_nodelay(true) {
@@ -58,26 +68,30 @@
         return;
     }
     let mut buffer = Buffer::new(stream);
+    let mut next = Next::Close;
     while wait_for_request(router, &mut buffer).await {
         let limits = limits(router);
         let active = router.drain.start_request();
-        let is_keep_alive = match request::read(&mut buffer, &limits).await {
+        next = match request::read(&mut buffer, &limits).await {
             Ok(request) => serve_request(router, &buffer, &request).await,
-            Err(ReadError::Closed) => false,
+            Err(ReadError::Closed) => Next::Close,
             Err(ReadError::Refused(refusal, attempt_id)) => {
                 log_read_error(router, refusal, attempt_id.as_deref());
                 refuse(buffer.stream(), refusal, attempt_id.as_deref(), true).await;
                 linger(&mut buffer).await;
-                false
+                Next::Close
             }
         };
         drop(active);
-        if !is_keep_alive {
+        if next != Next::KeepAlive {
             break;
         }
     }
     // An error means that the connection is already closed.
-    let _ = buffer.stream().shutdown(Shutdown::Both);
+    let _ = match next {
+        Next::Reset => reset_on_close(buffer.stream()),
+        Next::Close | Next::KeepAlive => buffer.stream().shutdown(Shutdown::Both),
+    };
 }
 
 /// Waits for the first byte of a request. Returns `false` when the connection is closed, idle for too long, or
@@ -110,16 +124,27 @@
         .map_or_else(Limits::default, |table| table.limits)
 }
 
-/// Serves one request; returns whether the connection can be used for another.
-async fn serve_request(router: &Arc<Router>, buffer: &Buffer, request: &Request) -> bool {
+/// Serves one request.
+async fn serve_request(router: &Arc<Router>, buffer: &Buffer, request: &Request) -> Next {
     let caller = buffer.stream();
     match dispatch::run(router, request, caller).await {
-        Outcome::Answered { is_keep_alive } => is_keep_alive,
-        Outcome::Truncated | Outcome::CallerClosed => false,
+        Outcome::Answered {
+            is_keep_alive: true,
+        } => Next::KeepAlive,
+        Outcome::Truncated if !request.supports_chunked => Next::Reset,
+        Outcome::Answered {
+            is_keep_alive: false,
+        }
+        | Outcome::CallerClosed
+        | Outcome::Truncated => Next::Close,
         Outcome::Refused(refusal) => {
             let is_closing = !request.is_keep_alive || router.drain.is_draining();
             let attempt_id = request.job.attempt.as_deref();
-            refuse(caller, refusal, attempt_id, is_closing).await && !is_closing
+            if refuse(caller, refusal, attempt_id, is_closing).await && !is_closing {
+                Next::KeepAlive
+            } else {
+                Next::Close
+            }
         }
     }
 }
