Resume no stream inside a long event

An event of more than 256 KiB is relayed in pieces. Broken off inside one, a stream was resumed after the event before it, so that the caller got a part of one run's event and then the whole event of another: pieces of two runs joined. Its end was also missed when the line break arrived in two pieces, and its identifier was not seen. Such a stream is now broken off towards the caller, the last bytes are held back, and the identifier counts from the first piece.

--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -146,10 +146,7 @@
     match route.retry {
         Retry::Idempotent => !delivery.progress.has_started(),
         Retry::Never => !history.may_have_run,
-        Retry::Resumable => {
-            // A stream that has started can resume only after an event with an identifier.
-            !delivery.progress.has_started() || history.events.last().is_some()
-        }
+        Retry::Resumable => !delivery.progress.has_started() || history.events.can_resume(),
     }
 }
 
--- a/router/src/events.rs
+++ b/router/src/events.rs
@@ -2,24 +2,27 @@
 //! resume at another upstream after the last one.
 
 /// Longest event that is held until it is complete; a longer one is relayed in pieces.
-const MAX_EVENT_BYTES: usize = 256 << 10;
+pub const MAX_EVENT_BYTES: usize = 256 << 10;
+/// Bytes of a longer event that are held back, so that its end is found when it arrives in pieces.
+const HELD_BYTES: usize = b"\n\r\n".len();
 
 /// Splits a stream of server-sent events, without changing its bytes.
 #[derive(Debug, Default)]
 pub struct Events {
     count: u32,
-    /// Bytes of the incomplete event at the end.
-    partial: Vec<u8>,
     last: Option<Box<str>>,
+    /// Bytes of the incomplete event at the end that were not relayed.
+    partial: Vec<u8>,
+    /// Number of bytes of the incomplete event that were relayed, since it is longer than [`MAX_EVENT_BYTES`].
+    relayed: usize,
 }
 
 impl Events {
     /// A stream that resumes after the event with the identifier `last`, or starts from the beginning for `None`.
     pub fn after(last: Option<&str>) -> Self {
         Self {
-            count: 0,
-            partial: Vec::new(),
             last: last.map(Box::from),
+            ..Self::default()
         }
     }
 
@@ -38,6 +41,12 @@
         self.last.as_deref()
     }
 
+    /// Whether the stream can resume at another upstream after [`Self::last`]: an event has an identifier, and the
+    /// caller holds no part of a further one.
+    pub const fn can_resume(&self) -> bool {
+        self.last.is_some() && self.relayed == 0
+    }
+
     /// Appends `bytes` and returns the events that are now complete.
     ///
     /// Events that the caller already has, by their identifier, are skipped.
@@ -54,14 +63,27 @@
         pending.drain(..start);
         self.partial = pending;
         if self.partial.len() > MAX_EVENT_BYTES {
-            complete.append(&mut self.partial);
+            self.relay_part(&mut complete);
         }
         complete
     }
 
+    /// Moves the incomplete event to `out`, but for its last bytes.
+    fn relay_part(&mut self, out: &mut Vec<u8>) {
+        if self.relayed == 0
+            && let Some(id) = event_id(&self.partial)
+        {
+            self.last = Some(id);
+        }
+        let length = self.partial.len() - HELD_BYTES;
+        self.relayed += length;
+        out.extend(self.partial.drain(..length));
+    }
+
     /// Appends `event` to `complete` unless the caller already has it.
     fn complete(&mut self, event: &[u8], complete: &mut Vec<u8>) {
-        if let Some(id) = event_id(event) {
+        let is_rest = std::mem::take(&mut self.relayed) > 0;
+        if !is_rest && let Some(id) = event_id(event) {
             if self.is_duplicate(&id) {
                 return;
             }
@@ -73,7 +95,7 @@
 
     /// Number of bytes of the incomplete event at the end.
     pub const fn incomplete_bytes(&self) -> usize {
-        self.partial.len()
+        self.relayed + self.partial.len()
     }
 
     /// Drops the incomplete event of a broken stream, before the stream resumes at another upstream.
@@ -104,8 +126,8 @@
 }
 
 fn event_id(event: &[u8]) -> Option<Box<str>> {
-    let text = std::str::from_utf8(event).ok()?;
-    text.lines()
-        .find_map(|line| line.strip_prefix("id:"))
-        .map(|id| id.trim().into())
+    let id = event
+        .split(|byte| *byte == b'\n')
+        .find_map(|line| line.strip_prefix(b"id:"))?;
+    Some(std::str::from_utf8(id).ok()?.trim().into())
 }
--- a/router/tests/events.rs
+++ b/router/tests/events.rs
@@ -1,6 +1,6 @@
 //! Splitting of event streams, and streams that break and resume.
 
-use almondwell_router::events::Events;
+use almondwell_router::events::{Events, MAX_EVENT_BYTES};
 
 fn event(id: u32) -> String {
     format!("id: {id}\ndata: text\n\n")
@@ -78,3 +78,35 @@
         );
     }
 }
+
+/// Guards against two runs joined within an event: the caller holds a part of a long event, so that the next
+/// upstream must not send that event again.
+#[test]
+fn cannot_resume_inside_a_long_event() {
+    let mut events = Events::after(None);
+    events.push(event(1).as_bytes());
+    assert!(events.can_resume());
+    let long = format!("id: 2\ndata: {}", "x".repeat(MAX_EVENT_BYTES));
+    assert!(!events.push(long.as_bytes()).is_empty());
+    assert!(!events.can_resume());
+    assert!(events.incomplete_bytes() > 0);
+    events.push(b"\n\n");
+    assert!(events.can_resume());
+    assert_eq!((events.last(), events.incomplete_bytes()), (Some("2"), 0));
+}
+
+/// Guards against a long event whose end is not found since its line break arrives in two pieces.
+#[test]
+fn finds_the_end_of_a_long_event_that_arrives_in_pieces() {
+    for line_break in ["\n", "\r\n"] {
+        let end = format!("{line_break}{line_break}");
+        for split in 1..end.len() {
+            let mut events = Events::after(None);
+            let long = format!("data: {}{}", "x".repeat(MAX_EVENT_BYTES), &end[..split]);
+            let mut relayed = events.push(long.as_bytes());
+            relayed.append(&mut events.push(&end.as_bytes()[split..]));
+            assert_eq!(relayed, format!("{long}{}", &end[split..]).as_bytes());
+            assert_eq!((events.count(), events.incomplete_bytes()), (1, 0));
+        }
+    }
+}
