Add failing tests of unframed answers at the sides of almondwell serve

The same cause was looked for in almondwell serve: there an answer with neither a length nor chunks reaches the caller as empty and complete, and a stream that ends inside an event as complete.

--- a/tests/tests/main.rs
+++ b/tests/tests/main.rs
@@ -18,3 +18,4 @@
 mod stop;
 mod stored;
 mod unauthenticated;
+mod unframed;
--- /dev/null
+++ b/tests/tests/unframed.rs
@@ -0,0 +1,119 @@
+//! Answers of upstreams that have neither a length nor chunks and end with their connection.
+
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use eyre::{Result, ensure};
+use fakes::http::{open, request};
+use fakes::set::{Set, Settings, chat_body};
+use http_types::{Method, Response};
+use tests::cases;
+
+const EVENTS: &str = "data: one\n\ndata: two\n\n";
+
+cases! {
+    relays_an_unframed_answer(one_engine()) = relays_answer;
+    relays_an_unframed_stream(one_engine()) = relays_stream;
+    // Guards against a broken-off stream without a length that reaches its caller as complete.
+    aborts_an_unframed_stream_that_ends_inside_an_event(one_engine()) = |set| aborts(set, false);
+    // Guards against the same where the upstream ends the chunks.
+    aborts_a_chunked_stream_that_ends_inside_an_event(one_engine()) = |set| aborts(set, true);
+}
+
+fn one_engine() -> Settings {
+    Settings {
+        engines: 1,
+        entries: 1,
+        order_services: 0,
+        ..Settings::default()
+    }
+}
+
+/// Replaces the set's engine by an upstream that answers each request with `head` and `body` and closes the
+/// connection.
+async fn replace_engine(set: &mut Set, head: &str, body: &str) -> Result<()> {
+    set.upstreams[0].upstream.kill();
+    let listener = TcpListener::bind(set.upstreams[0].address).await?;
+    let answer = format!("HTTP/1.1 200 OK\r\n{head}\r\n{body}");
+    task::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            task::spawn(async move { serve(stream, &answer).await });
+        }
+    });
+    Ok(())
+}
+
+/// Answers the first request. Connections without a request, which watch the upstream, stay open.
+async fn serve(mut stream: TcpStream, answer: &str) -> std::io::Result<()> {
+    let mut received = Vec::new();
+    let mut buffer = [0; 4096];
+    while !received.ends_with(b"}") {
+        let count = stream.read(&mut buffer).await?;
+        if count == 0 {
+            return Ok(());
+        }
+        received.extend_from_slice(&buffer[..count]);
+    }
+    stream.write_all(answer.as_bytes()).await
+}
+
+async fn ask(set: &Set, stream: bool) -> Result<Response> {
+    let headers = [
+        ("Authorization", "Bearer retail-key"),
+        ("Almondwell-Class", "summary"),
+        ("Content-Type", "application/json"),
+    ];
+    let address = set.entries[0].callers;
+    let body = chat_body("unframed", 3, stream);
+    open(
+        address,
+        request(
+            Method::Post,
+            address,
+            "/v1/chat/completions",
+            &headers,
+            body,
+        ),
+    )
+    .await
+}
+
+async fn relays_answer(mut set: Set) -> Result<()> {
+    replace_engine(
+        &mut set,
+        "Content-Type: application/json\r\n",
+        "{\"whole\": 1}",
+    )
+    .await?;
+    let mut response = ask(&set, false).await?;
+    let body = response.body_string().await;
+    ensure!(response.status() == 200, "{response:?}");
+    ensure!(body.as_deref().ok() == Some("{\"whole\": 1}"), "{body:?}");
+    Ok(())
+}
+
+async fn relays_stream(mut set: Set) -> Result<()> {
+    replace_engine(&mut set, "Content-Type: text/event-stream\r\n", EVENTS).await?;
+    let mut response = ask(&set, true).await?;
+    let body = response.body_string().await;
+    ensure!(response.status() == 200, "{response:?}");
+    ensure!(body.as_deref().ok() == Some(EVENTS), "{body:?}");
+    Ok(())
+}
+
+async fn aborts(mut set: Set, is_chunked: bool) -> Result<()> {
+    let part = format!("{EVENTS}data: thr");
+    let (encoding, body) = if is_chunked {
+        let body = format!("{:x}\r\n{part}\r\n0\r\n\r\n", part.len());
+        ("Transfer-Encoding: chunked\r\n", body)
+    } else {
+        ("", part)
+    };
+    let head = format!("Content-Type: text/event-stream\r\n{encoding}");
+    replace_engine(&mut set, &head, &body).await?;
+    let mut response = ask(&set, true).await?;
+    let body = response.body_string().await;
+    ensure!(response.status() != 200 || body.is_err(), "{body:?}");
+    Ok(())
+}
