Log the parts of prompts whose requests were running in a crash

The log named the request and the crashed upstream, so it could not show what the requests that crash upstreams share, nor whether they had begun to answer.

--- a/router/src/crash.rs
+++ b/router/src/crash.rs
@@ -25,10 +25,12 @@
     backend: &Arc<Backend>,
     admitted: &Admitted,
     request: &Request,
+    events: u32,
 ) {
     let (router, backend) = (router.clone(), backend.clone());
     let fingerprint = admitted.fingerprint;
     let attempt_id: Box<str> = request.job.attempt.clone().unwrap_or_default();
+    let parts = format_parts(request);
     task::spawn(async move {
         let connect = TcpStream::connect(backend.upstream.address);
         if matches!(timeout(CONNECT_TIMEOUT, connect).await, Ok(Ok(_))) {
@@ -41,12 +43,23 @@
             lock_quarantine(&router).record_crash(router.now(), fingerprint, id, is_alone);
         spdlog::warn!("upstream crashed while running a request", kv: {
             request = attempt_id.as_ref(), upstream = backend.upstream.id.as_ref(),
-            crashes = suspect.crashes.len()
+            crashes = suspect.crashes.len(), parts, events
         });
         peers::broadcast_suspect(&router, &suspect).await;
     });
 }
 
+/// Identifiers of the parts of a prompt that other requests may share, for log lines.
+fn format_parts(request: &Request) -> String {
+    let ids: Vec<_> = request
+        .job
+        .shared()
+        .iter()
+        .map(|part| format!("{:x}", part.id))
+        .collect();
+    ids.join(",")
+}
+
 pub(crate) fn lock_quarantine(router: &Router) -> MutexGuard<'_, Quarantine> {
     router
         .quarantine
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -111,6 +111,7 @@
                     &backend,
                     delivery.admitted,
                     delivery.request,
+                    history.events.count(),
                 );
             }
             SendOutcome::Failed(failure) => {
