Quarantine parts of prompts that crash upstreams

The quarantine knew a request only by a hash of all of it, so that each counted as new.

Each entry now keeps the crashes by part of prompts too, and tells the others. A part with four crashes that no answer has cleared is fatal: requests with it are refused as not run, and not sent again. An answer clears all parts of its request, at all entries, so that parts which sound requests share are not refused; nor are parts that were merely beside a fatal one.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -6,6 +6,7 @@
 mod budget;
 pub mod burn;
 mod directory;
+pub mod fatal_parts;
 pub mod fleet;
 mod flow;
 pub mod hash;
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -77,6 +77,9 @@
         };
         history.tried.push(backend.upstream.id.clone());
         let is_retry = history.sends > 0;
+        if is_retry && crash::is_fatal(delivery.router, delivery.request) {
+            return give_up(delivery, history, Reason::Quarantined).await;
+        }
         if is_retry && !take_retry(delivery) {
             return give_up(delivery, history, Reason::RetriesSpent).await;
         }
@@ -106,13 +109,7 @@
             SendOutcome::CallerClosed => return Outcome::CallerClosed,
             SendOutcome::Error(_) => {
                 history.may_have_run = true;
-                crash::check(
-                    delivery.router,
-                    &backend,
-                    delivery.admitted,
-                    delivery.request,
-                    history.events.count(),
-                );
+                crash::check(delivery, &backend, history.events.count());
             }
             SendOutcome::Failed(failure) => {
                 history.may_have_run = true;
@@ -191,6 +188,7 @@
     let inflight = backend.start_request();
     let bytes = encode_request(delivery, history, backend);
     progress.set_verdict(Verdict::MayHaveRun);
+    progress.reset_sound();
     let head = match connection
         .exchange(&bytes, &request.method, router.settings.max_answer)
         .await
--- a/router/src/dispatch.rs
+++ b/router/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Admits a request, runs its delivery against the deadline, and logs the outcome.
 
 use crate::backend::Queued;
+use crate::crash;
 use crate::delivery::{self, Delivery};
 use crate::refusal::{Reason, Refusal};
 use crate::request::Request;
@@ -60,6 +61,8 @@
     /// Milliseconds until the start of the response.
     first_byte_ms: AtomicU64,
     has_started: AtomicBool,
+    /// Whether the upstream that has the request has shown that the request does not crash it.
+    is_sound: AtomicBool,
     /// Status of the response that is being relayed; 0 while there is none.
     status: AtomicU16,
     /// Number of the current [`Verdict`].
@@ -101,6 +104,20 @@
         self.has_started.load(Ordering::Acquire)
     }
 
+    /// Records that the request does not crash the upstream that has it; returns whether this was recorded before.
+    pub(crate) fn set_sound(&self) -> bool {
+        self.is_sound.swap(true, Ordering::AcqRel)
+    }
+
+    /// Records that another upstream gets the request.
+    pub(crate) fn reset_sound(&self) {
+        self.is_sound.store(false, Ordering::Release);
+    }
+
+    pub(crate) fn is_sound(&self) -> bool {
+        self.is_sound.load(Ordering::Acquire)
+    }
+
     pub(crate) fn set_verdict(&self, verdict: Verdict) {
         self.verdict.store(verdict as u8, Ordering::Release);
     }
@@ -201,7 +218,7 @@
         .lock()
         .unwrap_or_else(PoisonError::into_inner)
         .treatment(router.now(), fingerprint);
-    if treatment == Treatment::Refused {
+    if treatment == Treatment::Refused || crash::is_fatal(router, request) {
         return Err(Refusal::retryable(Reason::Quarantined, retry_after()));
     }
     let band = job.model.as_ref().map(|_| {
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -6,7 +6,7 @@
 use almondwell_core::fleet::Source;
 use almondwell_core::upstream::{State, Upstream};
 use almondwell_platform::decode;
-use almondwell_schema::{Ask, Datagram, Digest, Frame, Held, Registration, Suspect};
+use almondwell_schema::{Ask, Datagram, Digest, Frame, Held, Registration, Suspect, SuspectPart};
 use almondwell_wire::{Connection, Seal, Turn};
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
@@ -33,25 +33,27 @@
 pub(crate) async fn gossip(router: Arc<Router>) {
     loop {
         let digest = digest(&router);
+        let parts: Vec<_> = sample(crash::lock_fatal_parts(&router).fatal(router.now()))
+            .map(|suspect| SuspectPart { suspect })
+            .collect();
         let targets = lock_peers(&router)
             .gossip_targets(router.now(), |below| rand::rng().random_range(0..below));
         for address in targets {
-            send(&router, digest.clone(), address).await;
+            send(&router, &digest.clone().into(), address).await;
+            for part in &parts {
+                send(&router, &part.clone().into(), address).await;
+            }
         }
         update_shares(&router);
         task::sleep(GOSSIP_PERIOD).await;
     }
 }
 
-/// Reports a request that may crash upstreams to all known entries immediately.
-pub(crate) async fn broadcast_suspect(router: &Router, suspect: &Suspect) {
+/// Sends a datagram to all known entries immediately.
+pub(crate) async fn broadcast(router: &Router, datagram: &Datagram) {
     let addresses: Vec<_> = lock_peers(router).addresses().collect();
     for address in addresses {
-        if let Err(error) = router.socket.send(&suspect.clone().into(), address).await {
-            spdlog::debug!("sending datagram failed", kv: {
-                to = address.to_string(), error = error.to_string()
-            });
-        }
+        send(router, datagram, address).await;
     }
 }
 
@@ -67,6 +69,11 @@
                     });
                 }
             }
+            Ok((Datagram::SuspectPart(part), from)) => {
+                if let Some(suspect) = crash::merge_part(&router, &part.suspect) {
+                    send(&router, &SuspectPart { suspect }.into(), from).await;
+                }
+            }
             Ok((_, from)) => {
                 spdlog::debug!("unexpected datagram ignored", kv: { from = from.to_string() });
             }
@@ -102,7 +109,6 @@
 fn digest(router: &Router) -> Digest {
     let now = router.now();
     let suspects = crash::lock_quarantine(router).suspects(now);
-    let start = rand::rng().random_range(0..suspects.len().max(1));
     Digest {
         entry: router.settings.id.clone(),
         control: router.settings.control,
@@ -110,17 +116,19 @@
         revision: router.revision(),
         shares: router.services.shares(now),
         peers: lock_peers(router).addresses().take(MAX_HINTS).collect(),
-        suspects: suspects
-            .into_iter()
-            .cycle()
-            .skip(start)
-            .take(MAX_SUSPECTS)
-            .collect(),
+        suspects: sample(suspects).collect(),
     }
 }
 
-async fn send(router: &Router, digest: Digest, address: SocketAddr) {
-    if let Err(error) = router.socket.send(&digest.into(), address).await {
+/// Some of `suspects`, from a random one on.
+fn sample(mut suspects: Vec<Suspect>) -> impl Iterator<Item = Suspect> {
+    let start = rand::rng().random_range(0..suspects.len().max(1));
+    suspects.rotate_left(start);
+    suspects.into_iter().take(MAX_SUSPECTS)
+}
+
+async fn send(router: &Router, datagram: &Datagram, address: SocketAddr) {
+    if let Err(error) = router.socket.send(datagram, address).await {
         spdlog::debug!("sending datagram failed", kv: {
             to = address.to_string(), error = error.to_string()
         });
@@ -158,7 +166,7 @@
     }
     if version < own_version {
         // The peer may be unable to reach the store. The reply shows that this entry has a newer configuration to fetch.
-        send(router, self::digest(router), from).await;
+        send(router, &self::digest(router).into(), from).await;
     }
     let has_newer_upstreams = !router.is_current() && revision > router.revision();
     if version > own_version || has_newer_upstreams {
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -1,6 +1,7 @@
 //! Relays responses from upstreams to callers.
 
 use crate::connection::{Connection, Error};
+use crate::crash;
 use crate::delivery::{Delivery, attempt_id};
 use crate::dispatch::Outcome;
 use crate::events::Events;
@@ -8,10 +9,15 @@
 use crate::refusal::{Reason, Refusal};
 use crate::response::Head;
 use async_std::io::WriteExt;
+use std::time::Duration;
 
 /// Bytes of a response that are buffered until it is complete; a longer one is relayed as it arrives.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
 
+/// Time from its first event after which a stream is sound: an upstream that a request crashes does so when it begins
+/// the answer.
+const SOUND_AFTER: Duration = Duration::from_secs(1);
+
 /// Outcome of relaying a response.
 pub(crate) enum RelayOutcome {
     Error(Error),
@@ -65,6 +71,7 @@
         }
     }
     record_first_byte(delivery, head);
+    crash::record_success(delivery);
     match write_response(delivery, head, &body).await {
         Some(is_keep_alive) => RelayOutcome::Completed { is_keep_alive },
         None => RelayOutcome::CallerClosed,
@@ -123,6 +130,7 @@
 ) -> RelayOutcome {
     let mut decoder = Decoder::new(head.framing);
     let mut writer = Writer::new(delivery, head);
+    let mut first_event_at = None;
     loop {
         let mut chunk = Vec::new();
         let is_done = match connection.read_body(&mut decoder, &mut chunk).await {
@@ -132,6 +140,10 @@
         let complete = events.push(&chunk);
         if !complete.is_empty() {
             record_first_token(delivery);
+            let now = delivery.router.now();
+            if now.saturating_sub(*first_event_at.get_or_insert(now)) >= SOUND_AFTER {
+                crash::record_success(delivery);
+            }
         }
         let is_unframed = head.framing == Framing::Close;
         let is_incomplete = events.incomplete_bytes() > 0 || (is_unframed && events.is_empty());
@@ -150,6 +162,7 @@
             return RelayOutcome::Error(Error::IncompleteEvent);
         }
         if is_last {
+            crash::record_success(delivery);
             return writer.completed();
         }
     }
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -4,6 +4,7 @@
 use crate::drain::Drain;
 use crate::metrics::Metrics;
 use crate::services::Services;
+use almondwell_core::fatal_parts::FatalParts;
 use almondwell_core::fleet::{self, Change, Fleet};
 use almondwell_core::peers::{self, Peers};
 use almondwell_core::placement;
@@ -32,8 +33,10 @@
     backends: Mutex<BTreeMap<UpstreamId, Arc<Backend>>>,
     pub(crate) clock: Clock,
     pub(crate) drain: Drain,
-    pub(crate) services: Services,
+    /// Parts of prompts that crash upstreams.
+    pub(crate) fatal_parts: Mutex<FatalParts>,
     fleet: Mutex<Fleet>,
+    pub(crate) services: Services,
     /// Whether the configuration has been read since the store was last unreachable.
     is_current: AtomicBool,
     pub(crate) metrics: Metrics,
@@ -66,6 +69,7 @@
             backends: Mutex::default(),
             clock: Clock::start(),
             drain: Drain::default(),
+            fatal_parts: Mutex::default(),
             services: Services::new(&settings),
             fleet: Mutex::new(Fleet::new(fleet::Options {
                 removal_grace: settings.drain.mul_f64(REMOVAL_GRACE_SHARE),
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -255,6 +255,7 @@
     Suspect(Suspect),
     Withdraw(Withdraw),
     Digest(Digest),
+    SuspectPart(SuspectPart),
 }
 impl From<Alive> for Datagram {
     fn from(value: Alive) -> Self {
@@ -311,6 +312,11 @@
         Self::Digest(value)
     }
 }
+impl From<SuspectPart> for Datagram {
+    fn from(value: SuspectPart) -> Self {
+        Self::SuspectPart(value)
+    }
+}
 /// One HTTP header.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Header {
@@ -514,6 +520,12 @@
     /// Time until the suspicion expires.
     pub left: Duration,
 }
+/// A part of prompts that is suspected of crashing upstreams.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SuspectPart {
+    /// Its fingerprint is the part's identifier; an identifier of a crash is the same for all requests that were running there.
+    pub suspect: Suspect,
+}
 /// All suspects, as stored.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Suspects {
--- a/side/src/control.rs
+++ b/side/src/control.rs
@@ -56,7 +56,8 @@
         | Datagram::Grant(_)
         | Datagram::Leaving(_)
         | Datagram::Queued(_)
-        | Datagram::Refuse(_) => {
+        | Datagram::Refuse(_)
+        | Datagram::SuspectPart(_) => {
             side.metrics.datagrams_rejected.inc();
         }
     }
