Relay no header with a line break from an upstream's response

Where an upstream sends no Date, the side's HTTP client adds one whose value holds its own name and a line break. The caller got it as it was, so that the head ended early and the rest of it was read as the body.

The new test failed before (the body began with the rest of the head and lacked its end) and passes.

--- a/side/src/upstream.rs
+++ b/side/src/upstream.rs
@@ -115,11 +115,11 @@
 fn head(response: &Response) -> Head {
     let headers = response
         .iter()
-        .filter(|(name, _)| {
+        .filter(|(name, values)| {
             !matches!(
                 name.as_str(),
                 "content-length" | "transfer-encoding" | "connection"
-            )
+            ) && !has_line_break(values.as_str())
         })
         .map(|(name, values)| Header {
             name: name.as_str().into(),
@@ -133,6 +133,11 @@
     }
 }
 
+/// Whether a value would end the head early. The HTTP client adds such a `Date` where the upstream sends none.
+fn has_line_break(value: &str) -> bool {
+    value.contains(['\r', '\n'])
+}
+
 async fn fail_interrupted(
     admission: &Admission<'_>,
     sink: &mut impl Sink,
--- a/tests/tests/unframed.rs
+++ b/tests/tests/unframed.rs
@@ -12,6 +12,8 @@
 const EVENTS: &str = "data: one\n\ndata: two\n\n";
 
 cases! {
+    // Guards against a head that ends early where the upstream sends no `Date`.
+    relays_an_answer_without_a_date(one_engine()) = relays_dateless;
     relays_an_unframed_answer(one_engine()) = relays_answer;
     relays_an_unframed_stream(one_engine()) = relays_stream;
     // Guards against a broken-off stream without a length that reaches its caller as complete.
@@ -79,6 +81,19 @@
     .await
 }
 
+async fn relays_dateless(mut set: Set) -> Result<()> {
+    let body = "{\"whole\": 1}";
+    let head = format!(
+        "Content-Type: application/json\r\nContent-Length: {}\r\n",
+        body.len()
+    );
+    replace_engine(&mut set, &head, body).await?;
+    let mut response = ask(&set, false).await?;
+    let received = response.body_string().await;
+    ensure!(received.as_deref().ok() == Some(body), "{received:?}");
+    Ok(())
+}
+
 async fn relays_answer(mut set: Set) -> Result<()> {
     replace_engine(
         &mut set,
