Relay unframed answers of the upstreams of almondwell serve

An answer with neither a length nor chunks reached its caller as empty and complete: the side's HTTP client takes such a body for an empty one. The client now gets no byte of the body together with the head, and a body without a length is read from the connection until it ends.

--- a/side/src/main.rs
+++ b/side/src/main.rs
@@ -15,6 +15,7 @@
 mod liveness;
 mod metrics;
 mod quarantine;
+mod reply;
 mod run;
 mod side;
 mod sink;
--- a/side/src/upstream.rs
+++ b/side/src/upstream.rs
@@ -1,14 +1,15 @@
 //! Runs one call at the upstream over HTTP.
 
 use crate::quarantine::{self, Admission};
+use crate::reply::Reply;
 use crate::side::Side;
 use crate::sink::Sink;
 use crate::{drain, fencing};
 use almondwell_schema::{Chunk, Crash, End, Fault, Head, Header, Reason, Run, Ticket, Verdict};
 use almondwell_wire::{Allowance, Error, Inflow};
-use async_std::io::ReadExt;
+use async_std::io::{BufReader, ReadExt};
 use async_std::net::TcpStream;
-use http_types::{Method, Request, Response, StatusCode};
+use http_types::{Body, Method, Request, Response, StatusCode};
 use std::time::Duration;
 
 const READ_BUFFER_BYTES: usize = 16 << 10;
@@ -39,8 +40,8 @@
     };
     tcp.set_nodelay(true)?;
     let allowance = Allowance::new(MAX_HEAD_BYTES);
-    let inflow = Inflow::new(tcp, allowance.clone());
-    let response = async_h1::connect(inflow, request(side, run)).await;
+    let reply = Reply::new(Inflow::new(tcp, allowance.clone()));
+    let response = async_h1::connect(reply.clone(), request(side, run)).await;
     allowance.set(MAX_BODY_BYTES);
     match response {
         Ok(response) if is_fenced_off(side, &response) => {
@@ -52,7 +53,13 @@
             drain::start(side).await;
             result
         }
-        Ok(response) => forward(&admission, side, sink, run.ticket, response).await,
+        Ok(mut response) => {
+            if is_unframed(&response) {
+                // The HTTP client takes a body without a length for an empty one.
+                response.set_body(Body::from_reader(BufReader::new(reply), None));
+            }
+            forward(&admission, side, sink, run.ticket, response).await
+        }
         Err(error) => {
             side.metrics.upstream_failures.inc();
             fail_interrupted(&admission, sink, &error.to_string()).await
@@ -78,6 +85,17 @@
     side.settings.fenced && response.status() == StatusCode::PreconditionFailed
 }
 
+/// Whether the response has a body that ends with its connection.
+fn is_unframed(response: &Response) -> bool {
+    let has_body = !matches!(
+        response.status(),
+        StatusCode::NoContent | StatusCode::NotModified
+    );
+    has_body
+        && response.header("Content-Length").is_none()
+        && response.header("Transfer-Encoding").is_none()
+}
+
 async fn forward(
     admission: &Admission<'_>,
     side: &Side,
