Fail a stream at the side that ends inside an event

The side now keeps the last bytes of a stream of events and reports a fault unless they end an event.

--- a/side/src/main.rs
+++ b/side/src/main.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod control;
 mod drain;
+mod ending;
 mod entries;
 mod fencing;
 mod health;
--- a/side/src/upstream.rs
+++ b/side/src/upstream.rs
@@ -1,5 +1,6 @@
 //! Runs one call at the upstream over HTTP.
 
+use crate::ending::Ending;
 use crate::quarantine::{self, Admission};
 use crate::reply::Reply;
 use crate::side::Side;
@@ -104,6 +105,7 @@
     mut response: Response,
 ) -> Result<(), Error> {
     let expected = response.len();
+    let mut ending = Ending::of(&response);
     sink.write(&head(&response).into()).await?;
     let mut length = 0;
     let mut buffer = vec![0; READ_BUFFER_BYTES];
@@ -112,6 +114,7 @@
             Ok(0) => break,
             Ok(read) => {
                 length += read as u64;
+                ending.push(&buffer[..read]);
                 side.queue().token(side.clock.now(), ticket);
                 let bytes = buffer[..read].to_vec();
                 sink.write(&Chunk { bytes }.into()).await?;
@@ -126,6 +129,10 @@
         side.metrics.upstream_failures.inc();
         return fail_interrupted(admission, sink, "answer was cut short").await;
     }
+    if !ending.is_complete() {
+        side.metrics.upstream_failures.inc();
+        return fail_interrupted(admission, sink, "stream ended inside an event").await;
+    }
     admission.record_success();
     sink.write(&End { length }.into()).await
 }
