Simulate small, large and lossy fleets in the tests of fatal parts

The simulation of the incident's load was one size without lost reports. It now runs three, 20 seeds each, and its bound is the platform's rule: three requests from 4 s after the fifth crash on.

--- a/core/tests/fatal_parts.rs
+++ b/core/tests/fatal_parts.rs
@@ -1,9 +1,10 @@
 //! Parts of prompts that crash upstreams, told apart from those that are merely beside them.
 
 use almondwell_core::fatal_parts::{FatalParts, Options};
+use almondwell_schema::Suspect;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 const NOW: Duration = Duration::from_secs(100);
@@ -120,80 +121,193 @@
     assert_eq!(parts.suspect(NOW, 1000), None);
 }
 
-/// Load of the incident: entries send sound requests of a few groups and requests with a fatal part to engines that
-/// run several at once; a crashed engine breaks off all of them and is back after three seconds.
-#[test]
-fn stops_a_fatal_part_under_load_and_serves_the_rest() {
-    const ENTRIES: usize = 4;
-    const ENGINES: usize = 12;
+/// Sizes of a simulated fleet.
+#[derive(Clone, Copy)]
+struct Sizes {
+    engines: usize,
+    entries: usize,
+    /// Share of reports between entries that are lost.
+    loss: f64,
+}
+
+/// A request that runs at an engine.
+struct Run {
+    ends_at: Duration,
+    entry: usize,
+    parts: Vec<u64>,
+}
+
+/// Entries that send requests to engines. A crashed engine breaks off all that it runs and is back after some time.
+struct Load {
+    back_at: Vec<Duration>,
+    crashed_at: Vec<Duration>,
+    entries: Vec<FatalParts>,
+    /// Arrivals of requests with the fatal part at engines.
+    fatal_arrivals: Vec<Duration>,
+    now: Duration,
+    refused: usize,
+    rng: StdRng,
+    running: BTreeMap<usize, Vec<Run>>,
+    served: usize,
+    sizes: Sizes,
+}
+
+impl Load {
     const DOWN: Duration = Duration::from_secs(3);
+    const GOSSIP: Duration = Duration::from_secs(1);
+    const FANOUT: usize = 3;
     const STEP: Duration = Duration::from_millis(20);
-    for seed in 0..50 {
-        let mut rng = StdRng::seed_from_u64(seed);
-        let mut entries = vec![FatalParts::default(); ENTRIES];
-        let mut back_at = [Duration::ZERO; ENGINES];
-        let mut lives = [0; ENGINES];
-        // Requests that run at an engine: entry, parts, and when they end.
-        let mut running: BTreeMap<usize, Vec<(usize, Vec<u64>, Duration)>> = BTreeMap::new();
-        let mut crashes = BTreeSet::new();
-        let (mut sound, mut refused) = (0, 0);
-        let mut now = NOW;
-        while now < NOW + Duration::from_secs(40) {
-            now += STEP;
-            for requests in running.values_mut() {
-                let ended = requests.extract_if(.., |(_, _, end)| *end <= now);
-                for (entry, parts, _) in ended.collect::<Vec<_>>() {
-                    for report in entries[entry].record_success(now, &parts) {
-                        merge_at_others(&mut entries, now, entry, &report);
-                    }
-                }
-            }
-            let is_fatal = now > NOW + Duration::from_secs(5) && rng.random_bool(0.1);
-            let group = rng.random_range(0..6);
-            let part = if is_fatal { FATAL } else { 20 + group };
-            let parts = vec![10 + group % 2, part];
-            let entry = rng.random_range(0..ENTRIES);
-            let engine = rng.random_range(0..ENGINES);
-            if back_at[engine] > now {
-                continue;
+
+    fn new(sizes: Sizes, seed: u64) -> Self {
+        Self {
+            back_at: vec![Duration::ZERO; sizes.engines],
+            crashed_at: Vec::new(),
+            entries: vec![FatalParts::default(); sizes.entries],
+            fatal_arrivals: Vec::new(),
+            now: NOW,
+            refused: 0,
+            rng: StdRng::seed_from_u64(seed),
+            running: BTreeMap::new(),
+            served: 0,
+            sizes,
+        }
+    }
+
+    /// Runs for 40 s; from the fifth one on, five requests a second have the fatal part.
+    fn run(&mut self) {
+        let mut gossip_at = NOW;
+        while self.now < NOW + Duration::from_secs(40) {
+            self.now += Self::STEP;
+            self.end_runs();
+            if self.now >= gossip_at {
+                gossip_at += Self::GOSSIP;
+                self.gossip();
             }
-            if entries[entry].is_fatal(now, &parts) {
-                refused += usize::from(!is_fatal);
-                continue;
+            for _ in 0..self.sizes.engines / 12 {
+                self.request(false);
             }
-            sound += usize::from(!is_fatal);
-            let end = now + Duration::from_millis(rng.random_range(300..4000));
-            running.entry(engine).or_default().push((entry, parts, end));
-            if !is_fatal {
-                continue;
+            if self.now > NOW + Duration::from_secs(5) && self.rng.random_bool(0.1) {
+                self.request(true);
             }
-            let crash = (engine * 1000 + lives[engine]) as u64;
-            lives[engine] += 1;
-            crashes.insert(crash);
-            back_at[engine] = now + DOWN;
-            for (entry, parts, _) in running.remove(&engine).unwrap_or_default() {
-                for report in entries[entry].record_crash(now, &parts, crash) {
-                    merge_at_others(&mut entries, now, entry, &report);
+        }
+    }
+
+    fn request(&mut self, is_fatal: bool) {
+        let group = self.rng.random_range(0..6);
+        let part = if is_fatal { FATAL } else { 20 + group };
+        let parts = vec![10 + group % 2, part];
+        let entry = self.rng.random_range(0..self.sizes.entries);
+        let engine = self.rng.random_range(0..self.sizes.engines);
+        if self.back_at[engine] > self.now {
+            return;
+        }
+        if self.entries[entry].is_fatal(self.now, &parts) {
+            self.refused += usize::from(!is_fatal);
+            return;
+        }
+        let ends_at = self.now + Duration::from_millis(self.rng.random_range(300..4000));
+        let run = Run {
+            ends_at,
+            entry,
+            parts,
+        };
+        self.running.entry(engine).or_default().push(run);
+        if is_fatal {
+            self.fatal_arrivals.push(self.now);
+            self.crash(engine);
+        } else {
+            self.served += 1;
+        }
+    }
+
+    fn crash(&mut self, engine: usize) {
+        let crash = self.crashed_at.len() as u64;
+        self.crashed_at.push(self.now);
+        self.back_at[engine] = self.now + Self::DOWN;
+        for run in self.running.remove(&engine).unwrap_or_default() {
+            let reports = self.entries[run.entry].record_crash(self.now, &run.parts, crash);
+            self.report(run.entry, &reports);
+        }
+    }
+
+    fn end_runs(&mut self) {
+        let now = self.now;
+        let ended: Vec<_> = self
+            .running
+            .values_mut()
+            .flat_map(|runs| {
+                runs.extract_if(.., |run| run.ends_at <= now)
+                    .collect::<Vec<_>>()
+            })
+            .collect();
+        for run in ended {
+            let reports = self.entries[run.entry].record_success(now, &run.parts);
+            self.report(run.entry, &reports);
+        }
+    }
+
+    fn gossip(&mut self) {
+        for from in 0..self.sizes.entries {
+            let fatal = self.entries[from].fatal(self.now);
+            for _ in 0..Self::FANOUT {
+                let to = self.rng.random_range(0..self.sizes.entries);
+                for part in &fatal {
+                    self.send(from, to, part);
                 }
             }
         }
-        assert!(crashes.len() <= 5, "seed {seed}: {} crashes", crashes.len());
-        assert!(
-            refused * 20 <= sound,
-            "seed {seed}: {refused} of {sound} sound requests refused"
-        );
     }
-}
 
-fn merge_at_others(
-    entries: &mut [FatalParts],
-    now: Duration,
-    from: usize,
-    report: &almondwell_schema::Suspect,
-) {
-    for other in (0..entries.len()).filter(|other| *other != from) {
-        if let Some(reply) = entries[other].merge(now, report) {
-            entries[from].merge(now, &reply);
+    fn report(&mut self, from: usize, reports: &[Suspect]) {
+        for report in reports {
+            for to in 0..self.sizes.entries {
+                self.send(from, to, report);
+            }
         }
     }
+
+    fn send(&mut self, from: usize, to: usize, suspect: &Suspect) {
+        if from == to || self.rng.random_bool(self.sizes.loss) {
+            return;
+        }
+        if let Some(reply) = self.entries[to].merge(self.now, suspect)
+            && !self.rng.random_bool(self.sizes.loss)
+        {
+            self.entries[from].merge(self.now, &reply);
+        }
+    }
+}
+
+macro_rules! loads {
+    ($($name:ident: $sizes:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            (0..20).for_each(|seed| stops_a_fatal_part($sizes, seed));
+        })*
+    };
+}
+
+loads! {
+    stops_a_fatal_part_in_a_small_fleet: Sizes { engines: 12, entries: 4, loss: 0.0 };
+    stops_a_fatal_part_in_a_large_fleet: Sizes { engines: 120, entries: 24, loss: 0.0 };
+    stops_a_fatal_part_while_reports_are_lost: Sizes { engines: 24, entries: 8, loss: 0.3 };
+}
+
+/// The platform allows three more requests from 4 s after the fifth crash on. Sound requests share their first part
+/// with those that crash engines.
+fn stops_a_fatal_part(sizes: Sizes, seed: u64) {
+    const CONTACT: Duration = Duration::from_secs(4);
+    let mut load = Load::new(sizes, seed);
+    load.run();
+    let late = load.crashed_at.get(4).map_or(0, |fifth| {
+        let late = |at: &&Duration| **at > *fifth + CONTACT;
+        load.fatal_arrivals.iter().filter(late).count()
+    });
+    assert!(late <= 3, "seed {seed}: {late} late arrivals");
+    assert!(
+        load.refused * 20 <= load.served,
+        "seed {seed}: {} sound requests refused, {} served",
+        load.refused,
+        load.served
+    );
 }
