Keep quarantined parts of prompts in the store

Entries knew the parts that crash upstreams from their own memory and from each other alone. When all of them restarted at once, or for an entry that no other reached, requests with such a part crashed upstreams anew, up to four for each entry. Entries that saw a crash now write fatal parts to one object, and entries read it at their start and when a crash makes a part suspect. Without crashes there is one call for each start of an entry.

--- a/core/src/fatal_parts.rs
+++ b/core/src/fatal_parts.rs
@@ -42,6 +42,8 @@
 struct Record {
     crashes: BTreeMap<CrashId, Evidence>,
     expires_at: Duration,
+    /// Whether this entry recorded one of the crashes itself.
+    is_reported: bool,
 }
 
 impl Record {
@@ -114,11 +116,11 @@
         }
     }
 
-    /// Whether a request with `parts` would crash the upstream that runs it.
+    /// Whether a request with `parts` is expected to crash the upstream that runs it.
     ///
     /// A part all of whose crashes are explained by a fatal one that the request does not have is no reason:
     /// the two were merely beside each other. If that is wrong, the next crash shows it.
-    pub fn is_fatal(&self, now: Duration, parts: &[PartId]) -> bool {
+    pub fn refuses(&self, now: Duration, parts: &[PartId]) -> bool {
         parts.iter().any(|part| {
             self.fatal_record(now, *part).is_some_and(|record| {
                 !self.records.keys().any(|other| {
@@ -143,6 +145,9 @@
         let mut reports = Vec::new();
         for part in parts {
             self.add(now, *part, [(crash, Evidence::Shared)], retention);
+            if let Some(record) = self.records.get_mut(part) {
+                record.is_reported = true;
+            }
             if !self.is_sound(now, *part) {
                 reports.extend(self.suspect(now, *part));
             }
@@ -197,6 +202,18 @@
         })
     }
 
+    /// Whether `part` is fatal, or was beside a fatal one in all of its crashes.
+    pub fn is_fatal(&self, now: Duration, part: PartId) -> bool {
+        self.fatal_record(now, part).is_some()
+    }
+
+    /// Whether an upstream crashed under `part` while it ran a request of this entry.
+    pub fn is_reported(&self, part: PartId) -> bool {
+        self.records
+            .get(&part)
+            .is_some_and(|record| record.is_reported)
+    }
+
     /// All fatal parts.
     pub fn fatal(&self, now: Duration) -> Vec<Suspect> {
         self.records
--- a/core/tests/fatal_parts.rs
+++ b/core/tests/fatal_parts.rs
@@ -34,7 +34,7 @@
                 }
             }
             let later = NOW + Options::default().sound;
-            assert_eq!(parts.is_fatal(later, &$parts), $is_fatal);
+            assert_eq!(parts.refuses(later, &$parts), $is_fatal);
         })*
     };
 }
@@ -64,16 +64,16 @@
     crashed(&mut parts, NOW, SYSTEM, 0..9);
     let sound = Options::default().sound;
     let last = NOW + sound.checked_sub(Duration::from_millis(1)).unwrap();
-    assert!(!parts.is_fatal(last, &[SYSTEM]));
-    assert!(parts.is_fatal(NOW + sound, &[SYSTEM]));
+    assert!(!parts.refuses(last, &[SYSTEM]));
+    assert!(parts.refuses(NOW + sound, &[SYSTEM]));
 }
 
 #[test]
 fn a_suspicion_expires() {
     let mut parts = FatalParts::default();
     crashed(&mut parts, NOW, FATAL, 0..4);
-    assert!(parts.is_fatal(NOW, &[FATAL]));
-    assert!(!parts.is_fatal(NOW + Options::default().retention, &[FATAL]));
+    assert!(parts.refuses(NOW, &[FATAL]));
+    assert!(!parts.refuses(NOW + Options::default().retention, &[FATAL]));
 }
 
 #[test]
@@ -81,10 +81,10 @@
     let (mut one, mut other) = (FatalParts::default(), FatalParts::default());
     other.record_success(NOW, &[SYSTEM]);
     crashed(&mut one, NOW, SYSTEM, 0..4);
-    assert!(one.is_fatal(NOW, &[SYSTEM]));
+    assert!(one.refuses(NOW, &[SYSTEM]));
     let reply = other.merge(NOW, &one.suspect(NOW, SYSTEM).unwrap());
     assert_eq!(one.merge(NOW, &reply.unwrap()), None);
-    assert!(!one.is_fatal(NOW, &[SYSTEM]));
+    assert!(!one.refuses(NOW, &[SYSTEM]));
 }
 
 #[test]
@@ -100,7 +100,7 @@
         for report in reports.iter().chain(&reports) {
             entry.merge(NOW, report);
         }
-        assert!(entry.is_fatal(NOW, &[FATAL]));
+        assert!(entry.refuses(NOW, &[FATAL]));
     }
 }
 
@@ -116,7 +116,7 @@
         parts.record_crash(NOW, &[part], part);
         parts.record_success(NOW + Duration::from_millis(part), &[part + 5000]);
     }
-    assert!(parts.is_fatal(NOW + Duration::from_secs(1), &[FATAL]));
+    assert!(parts.refuses(NOW + Duration::from_secs(1), &[FATAL]));
     assert_eq!(parts.fatal(NOW).len(), 1);
     assert_eq!(parts.suspect(NOW, 1000), None);
 }
@@ -201,7 +201,7 @@
         if self.back_at[engine] > self.now {
             return;
         }
-        if self.entries[entry].is_fatal(self.now, &parts) {
+        if self.entries[entry].refuses(self.now, &parts) {
             self.refused += usize::from(!is_fatal);
             return;
         }
--- a/router/src/crash.rs
+++ b/router/src/crash.rs
@@ -68,11 +68,16 @@
     let mut fatal_parts = lock_fatal_parts(router);
     let was_fatal: Vec<_> = parts
         .iter()
-        .map(|part| fatal_parts.is_fatal(now, &[*part]))
+        .map(|part| fatal_parts.is_fatal(now, *part))
         .collect();
     let reports = fatal_parts.record_crash(now, parts, crash);
+    if !reports.is_empty() {
+        // Other entries may know more of the parts than their reports have told this one.
+        router.fatal_requests.read();
+    }
     for (part, was_fatal) in parts.iter().zip(was_fatal) {
-        if !was_fatal && fatal_parts.is_fatal(now, &[*part]) {
+        if !was_fatal && fatal_parts.is_fatal(now, *part) {
+            router.fatal_requests.write();
             fatal_parts
                 .suspect(now, *part)
                 .iter()
@@ -89,7 +94,18 @@
     }
     let router = delivery.router;
     let parts = part_ids(delivery.request);
-    let reports = lock_fatal_parts(router).record_success(router.now(), &parts);
+    if parts.is_empty() {
+        return;
+    }
+    let now = router.now();
+    let (was_fatal, reports) = {
+        let mut fatal_parts = lock_fatal_parts(router);
+        let was_fatal = parts.iter().any(|part| fatal_parts.is_fatal(now, *part));
+        (was_fatal, fatal_parts.record_success(now, &parts))
+    };
+    if was_fatal {
+        router.fatal_requests.write();
+    }
     if !reports.is_empty() {
         let router = router.clone();
         task::spawn(async move { report_parts(&router, reports).await });
@@ -98,7 +114,8 @@
 
 /// Whether the request's prompt has a part that crashes upstreams.
 pub(crate) fn is_fatal(router: &Router, request: &Request) -> bool {
-    lock_fatal_parts(router).is_fatal(router.now(), &part_ids(request))
+    let parts = part_ids(request);
+    !parts.is_empty() && lock_fatal_parts(router).refuses(router.now(), &parts)
 }
 
 /// Merges what another entry knows of a part; returns what that entry has to know.
@@ -106,10 +123,14 @@
     let now = router.now();
     let part = suspect.fingerprint;
     let mut fatal_parts = lock_fatal_parts(router);
-    let was_fatal = fatal_parts.is_fatal(now, &[part]);
+    let was_fatal = fatal_parts.is_fatal(now, part);
     let reply = fatal_parts.merge(now, suspect);
-    if !was_fatal && fatal_parts.is_fatal(now, &[part]) {
+    if !was_fatal && fatal_parts.is_fatal(now, part) {
         log_fatal_part(suspect);
+        // Of all entries, only those that saw a crash write.
+        if fatal_parts.is_reported(part) {
+            router.fatal_requests.write();
+        }
     }
     reply
 }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -12,6 +12,7 @@
 mod drain;
 mod endpoints;
 pub mod events;
+mod fatal_object;
 mod fields;
 pub mod framing;
 mod metrics;
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::Backend;
 use crate::drain::Drain;
+use crate::fatal_object;
 use crate::metrics::Metrics;
 use crate::services::Services;
 use almondwell_core::fatal_parts::FatalParts;
@@ -12,7 +13,7 @@
 use almondwell_core::table::Table;
 use almondwell_core::upstream::{Upstream, UpstreamId};
 use almondwell_daemon::Clock;
-use almondwell_platform::Store;
+use almondwell_platform::{Objects, Store};
 use almondwell_schema::{Digest, RouterSettings};
 use almondwell_wire::Socket;
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -35,11 +36,14 @@
     pub(crate) drain: Drain,
     /// Parts of prompts that crash upstreams.
     pub(crate) fatal_parts: Mutex<FatalParts>,
+    pub(crate) fatal_requests: fatal_object::Requests,
     fleet: Mutex<Fleet>,
     pub(crate) services: Services,
     /// Whether the configuration has been read since the store was last unreachable.
     is_current: AtomicBool,
     pub(crate) metrics: Metrics,
+    /// Client for the objects that entries write.
+    pub(crate) objects: Objects,
     pub(crate) peers: Mutex<Peers<Digest>>,
     pub(crate) placement: placement::Options,
     pub(crate) quarantine: Mutex<Quarantine>,
@@ -70,6 +74,7 @@
             clock: Clock::start(),
             drain: Drain::default(),
             fatal_parts: Mutex::default(),
+            fatal_requests: fatal_object::Requests::default(),
             services: Services::new(&settings),
             fleet: Mutex::new(Fleet::new(fleet::Options {
                 removal_grace: settings.drain.mul_f64(REMOVAL_GRACE_SHARE),
@@ -77,6 +82,7 @@
             })),
             is_current: AtomicBool::new(false),
             metrics: Metrics::default(),
+            objects: Objects::new(settings.store),
             peers: Mutex::new(Peers::new(
                 peers::Options::default(),
                 settings.control,
