--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -42,6 +42,7 @@
 /// evidence on one crash the lower one in the order of [`Evidence`] stays.
 #[derive(Clone, Debug)]
 pub struct Quarantine {
+    evicted: u64,
     options: Options,
     records: BTreeMap<Fingerprint, Record>,
 }
@@ -56,11 +57,17 @@
     /// Creates a quarantine without suspects.
     pub const fn new(options: Options) -> Self {
         Self {
+            evicted: 0,
             options,
             records: BTreeMap::new(),
         }
     }
 
+    /// Number of suspects that were dropped so far, since there were too many.
+    pub const fn evicted(&self) -> u64 {
+        self.evicted
+    }
+
     /// Number of suspects.
     pub fn len(&self) -> usize {
         self.records.len()
@@ -154,6 +161,7 @@
             };
             let fingerprint = *fingerprint;
             self.records.remove(&fingerprint);
+            self.evicted += 1;
         }
     }
 }
--- a/router/src/crash.rs
+++ b/router/src/crash.rs
@@ -44,11 +44,15 @@
         let id = hash::number(&[attempt_id.as_bytes(), upstream.id.as_bytes()]);
         // Other requests, also of other entries, may have run there at the same time.
         let is_alone = false;
-        let suspect =
-            lock_quarantine(&router).record_crash(router.now(), fingerprint, id, is_alone);
+        let (suspect, suspects, evicted) = {
+            let mut quarantine = lock_quarantine(&router);
+            let suspect = quarantine.record_crash(router.now(), fingerprint, id, is_alone);
+            (suspect, quarantine.len(), quarantine.evicted())
+        };
         spdlog::warn!("upstream crashed while running a request", kv: {
             request = attempt_id.as_ref(), upstream = upstream.id.as_ref(),
-            crashes = suspect.crashes.len(), parts = format_parts(&parts), events
+            fingerprint = format!("{fingerprint:x}"), crashes = suspect.crashes.len(),
+            parts = format_parts(&parts), events, suspects, evicted
         });
         peers::broadcast(&router, &suspect.into()).await;
         let is_refused =
@@ -62,6 +66,20 @@
     });
 }
 
+/// Logs that a request is sent although upstreams crashed while they were running it.
+pub(crate) fn log_suspect(delivery: Delivery<'_>, backend: &Backend) {
+    let Delivery {
+        admitted, router, ..
+    } = delivery;
+    let suspect = lock_quarantine(router).suspect(router.now(), admitted.fingerprint);
+    if let Some(suspect) = suspect {
+        spdlog::info!("suspected request sent", kv: {
+            request = attempt_id(delivery.request), upstream = backend.upstream.id.as_ref(),
+            fingerprint = format!("{:x}", admitted.fingerprint), crashes = suspect.crashes.len()
+        });
+    }
+}
+
 /// Records that an upstream crashed under `parts`; returns what other entries have to know.
 fn record_part_crash(router: &Router, parts: &[PartId], crash: CrashId) -> Vec<Suspect> {
     let now = router.now();
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -98,6 +98,7 @@
             delivery.router.metrics.resumed.inc();
         }
         log_send(delivery, &history, &backend, &view, is_reused);
+        crash::log_suspect(delivery, &backend);
         if delivery.admitted.band.is_some() {
             let progress = delivery.progress;
             progress.set_queued(Some(enqueue(delivery, &backend, view.has_parts)));
