--- a/core/src/peers.rs
+++ b/core/src/peers.rs
@@ -13,6 +13,8 @@
     /// Number of entries that are sent to in one round, so that an entry's traffic does not grow with
     /// the number of entries.
     pub fanout: usize,
+    /// Number of addresses of other entries in one message, which has to fit into a datagram.
+    pub hints: usize,
 }
 
 impl Default for Options {
@@ -20,6 +22,7 @@
         Self {
             expiry: Duration::from_secs(20),
             fanout: 3,
+            hints: 4,
         }
     }
 }
@@ -98,6 +101,11 @@
         self.messages.keys().copied()
     }
 
+    /// Addresses of other entries that a message names, so that its receiver learns of them.
+    pub fn hints(&self, _draw: impl FnMut(usize) -> usize) -> Vec<SocketAddr> {
+        self.addresses().take(self.options.hints).collect()
+    }
+
     /// Addresses to send to in this round; `draw` returns a random number below its argument.
     pub fn gossip_targets(
         &mut self,
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -18,8 +18,6 @@
 
 /// Time between two rounds of gossip.
 const GOSSIP_PERIOD: Duration = Duration::from_secs(1);
-/// Most addresses of other entries in one digest; a digest has to fit into one datagram.
-const MAX_HINTS: usize = 4;
 /// Most suspects, requests that may crash upstreams, in one digest.
 const MAX_SUSPECTS: usize = 2;
 /// Time limit for a complete exchange over a connection.
@@ -115,7 +113,7 @@
         version: router.table().map_or(0, |table| table.version),
         revision: router.revision(),
         shares: router.services.shares(now),
-        peers: lock_peers(router).addresses().take(MAX_HINTS).collect(),
+        peers: lock_peers(router).hints(|below| rand::rng().random_range(0..below)),
         suspects: sample(suspects).collect(),
     }
 }
