Name random entries in digests, so that all entries of a larger fleet know each other

Cause: each digest named the first four addresses that its sender knew, by address. In a fleet of 29 all entries learned of the same few; after 19 s half of them knew at most 10 of 28 others, and a report of a crash goes to those that its sender knows. The number of entries that divides the retry budget was too low for the same reason. Fleets of 4 or 5 do not show it.

Change: a digest names 40 entries drawn at random among those its sender has heard itself, so that one that left is forgotten; entries known only by name count and get reports; a first digest is answered; in its first 10 s an entry gossips every 250 ms, since it knows only the seeds. Costs an entry three to six digests a second, whatever the size of the fleet.

--- a/core/src/peers.rs
+++ b/core/src/peers.rs
@@ -1,12 +1,16 @@
 //! The other entries that this one knows, with the last message from each.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Settings of the gossip between entries.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
+    /// Time after its start for which an entry, which knows only the seeds, gossips more often.
+    pub discovery: Duration,
+    /// Time between two rounds during discovery.
+    pub discovery_period: Duration,
     /// Time without a message after which an entry is dropped. It spans several gossip rounds, since each
     /// entry sends to only a few others per round.
     pub expiry: Duration,
@@ -15,14 +19,19 @@
     pub fanout: usize,
     /// Number of addresses of other entries in one message, which has to fit into a datagram.
     pub hints: usize,
+    /// Time between two rounds.
+    pub period: Duration,
 }
 
 impl Default for Options {
     fn default() -> Self {
         Self {
+            discovery: Duration::from_secs(10),
+            discovery_period: Duration::from_millis(250),
             expiry: Duration::from_secs(20),
             fanout: 3,
-            hints: 4,
+            hints: 40,
+            period: Duration::from_secs(1),
         }
     }
 }
@@ -37,8 +46,8 @@
 /// Entries by address, with the last message of type `T` from each.
 #[derive(Clone, Debug)]
 pub struct Peers<T> {
-    /// Addresses to send to from which no message has arrived, with the time of the hint.
-    hints: BTreeMap<SocketAddr, Duration>,
+    /// Entries that sent a message or that others named, with the time of the last one.
+    known: BTreeMap<SocketAddr, Duration>,
     options: Options,
     own: SocketAddr,
     seeds: Vec<SocketAddr>,
@@ -49,7 +58,7 @@
     /// Creates a set that knows only the seeds; `own` is this entry's address.
     pub fn new(options: Options, own: SocketAddr, seeds: Vec<SocketAddr>) -> Self {
         Self {
-            hints: BTreeMap::new(),
+            known: BTreeMap::new(),
             options,
             own,
             seeds,
@@ -57,36 +66,49 @@
         }
     }
 
-    /// Records a message from the entry at `from`; returns whether the entry was unknown.
+    /// Time until the next round, at `uptime` after the start.
+    pub fn period(&self, uptime: Duration) -> Duration {
+        if uptime < self.options.discovery {
+            self.options.discovery_period
+        } else {
+            self.options.period
+        }
+    }
+
+    /// Whether the entry at `address` is known, if only from others.
+    pub fn knows(&self, address: SocketAddr) -> bool {
+        self.known.contains_key(&address)
+    }
+
+    /// Records a message from the entry at `from`; returns whether it was the first one lately. It then needs a
+    /// reply: in a large fleet few entries meet by chance, and a new one knows only the seeds.
     pub fn record_message(&mut self, now: Duration, from: SocketAddr, content: T) -> bool {
-        self.expire(now);
         if from == self.own {
             return false;
         }
-        self.messages
-            .insert(
-                from,
-                Message {
-                    received_at: now,
-                    content,
-                },
-            )
-            .is_none()
+        let message = Message {
+            received_at: now,
+            content,
+        };
+        self.known.insert(from, now);
+        let previous = self.messages.insert(from, message);
+        previous
+            .is_none_or(|previous| now.saturating_sub(previous.received_at) >= self.options.expiry)
     }
 
     /// Adds addresses of entries that another entry knows.
     pub fn add_hints(&mut self, now: Duration, addresses: &[SocketAddr]) {
         for address in addresses {
-            if *address != self.own && !self.messages.contains_key(address) {
-                self.hints.insert(*address, now);
+            if *address != self.own {
+                self.known.insert(*address, now);
             }
         }
     }
 
-    /// Number of live entries, including this one.
+    /// Number of live entries, including this one and those known only from others.
     pub fn count(&mut self, now: Duration) -> usize {
         self.expire(now);
-        self.messages.len() + 1
+        self.known.len() + 1
     }
 
     /// The last message of each live entry, with its age.
@@ -96,37 +118,37 @@
             .map(move |message| (now.saturating_sub(message.received_at), &message.content))
     }
 
-    /// Addresses of the live entries, this one excluded.
+    /// Addresses of the live entries, this one excluded: those that sent a message, and those that others name.
     pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
-        self.messages.keys().copied()
+        self.known.keys().copied()
     }
 
-    /// Addresses of other entries that a message names, so that its receiver learns of them.
-    pub fn hints(&self, _draw: impl FnMut(usize) -> usize) -> Vec<SocketAddr> {
-        self.addresses().take(self.options.hints).collect()
+    /// Addresses of other entries that a message names, so that its receiver learns of them: a random choice, since
+    /// a fixed one would make all entries learn of the same few. `draw` returns a random number below its argument.
+    ///
+    /// Only entries that have sent a message themselves are named; those that left are then forgotten everywhere.
+    pub fn hints(&self, draw: impl FnMut(usize) -> usize) -> Vec<SocketAddr> {
+        sample(
+            self.messages.keys().copied().collect(),
+            self.options.hints,
+            draw,
+        )
     }
 
     /// Addresses to send to in this round; `draw` returns a random number below its argument.
     pub fn gossip_targets(
         &mut self,
         now: Duration,
-        mut draw: impl FnMut(usize) -> usize,
+        draw: impl FnMut(usize) -> usize,
     ) -> Vec<SocketAddr> {
         self.expire(now);
-        let mut addresses: Vec<_> = self
-            .messages
-            .keys()
-            .chain(self.hints.keys())
-            .chain(&self.seeds)
-            .copied()
-            .filter(|address| *address != self.own)
+        let seeds: BTreeSet<_> = self.seeds.iter().copied().collect();
+        let is_unknown = |seed: &SocketAddr| *seed != self.own && !self.known.contains_key(seed);
+        let addresses = self
+            .addresses()
+            .chain(seeds.into_iter().filter(is_unknown))
             .collect();
-        addresses.sort_unstable();
-        addresses.dedup();
-        while addresses.len() > self.options.fanout {
-            addresses.swap_remove(draw(addresses.len()));
-        }
-        addresses
+        sample(addresses, self.options.fanout, draw)
     }
 
     fn expire(&mut self, now: Duration) {
@@ -134,8 +156,21 @@
         let is_fresh = |at: Duration| now.saturating_sub(at) < expiry;
         self.messages
             .retain(|_, message| is_fresh(message.received_at));
-        let messages = &self.messages;
-        self.hints
-            .retain(|address, at| is_fresh(*at) && !messages.contains_key(address));
+        self.known.retain(|_, at| is_fresh(*at));
+    }
+}
+
+/// At most `count` of `addresses`, drawn at random.
+fn sample(
+    mut addresses: Vec<SocketAddr>,
+    count: usize,
+    mut draw: impl FnMut(usize) -> usize,
+) -> Vec<SocketAddr> {
+    let count = count.min(addresses.len());
+    for index in 0..count {
+        let other = index + draw(addresses.len() - index);
+        addresses.swap(index, other);
     }
+    addresses.truncate(count);
+    addresses
 }
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -16,8 +16,6 @@
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// Time between two rounds of gossip.
-const GOSSIP_PERIOD: Duration = Duration::from_secs(1);
 /// Most suspects, requests that may crash upstreams, in one digest.
 const MAX_SUSPECTS: usize = 2;
 /// Time limit for a complete exchange over a connection.
@@ -27,15 +25,18 @@
 
 type Peers = almondwell_core::peers::Peers<Digest>;
 
-/// Sends this entry's digest to a few other entries once per [`GOSSIP_PERIOD`], forever.
+/// Sends this entry's digest to a few other entries in each round, forever.
 pub(crate) async fn gossip(router: Arc<Router>) {
     loop {
         let digest = digest(&router);
         let parts: Vec<_> = sample(crash::lock_fatal_parts(&router).fatal(router.now()))
             .map(|suspect| SuspectPart { suspect })
             .collect();
-        let targets = lock_peers(&router)
-            .gossip_targets(router.now(), |below| rand::rng().random_range(0..below));
+        let (targets, period) = {
+            let (now, mut peers) = (router.now(), lock_peers(&router));
+            let targets = peers.gossip_targets(now, |below| rand::rng().random_range(0..below));
+            (targets, peers.period(now))
+        };
         for address in targets {
             send(&router, &digest.clone().into(), address).await;
             for part in &parts {
@@ -43,7 +44,7 @@
             }
         }
         update_shares(&router);
-        task::sleep(GOSSIP_PERIOD).await;
+        task::sleep(period).await;
     }
 }
 
@@ -153,17 +154,19 @@
     }
     let own_version = router.table().map_or(0, |table| table.version);
     let (from, version, revision) = (digest.control, digest.version, digest.revision);
-    let is_new = {
+    let (is_unknown, is_first) = {
         let mut peers = lock_peers(router);
+        let is_unknown = !peers.knows(from);
         peers.add_hints(now, &digest.peers);
-        peers.record_message(now, from, digest)
+        (is_unknown, peers.record_message(now, from, digest))
     };
-    if is_new {
+    if is_unknown {
         spdlog::info!("new peer discovered", kv: { from = from.to_string(), version });
         update_shares(router);
     }
-    if version < own_version {
-        // The peer may be unable to reach the store. The reply shows that this entry has a newer configuration to fetch.
+    // The peer may know only the seeds, or be unable to reach the store. The reply names further entries, and shows
+    // that this one has a newer configuration to fetch.
+    if is_first || version < own_version {
         send(router, &self::digest(router).into(), from).await;
     }
     let has_newer_upstreams = !router.is_current() && revision > router.revision();
