Keep requests that crash upstreams in the store, and let answers clear them

Cause: a second quarantine, for whole requests, had none of what parts of prompts got in: it lived in memory alone, no answer cleared it, retries were not checked against it, and its oldest record was dropped first. The class of fault: one question, what crashes engines, answered by two mechanisms of which one was mended.

Change: requests and parts are two kinds of causes in one set (core/src/causes.rs). All entries watch the objects in the store. A cause of one crash is told to three keepers, from two on to all, so that what a crash costs does not grow with the fleet. Before a suspected request is sent again, the check of its last engine is awaited. An answer that ends with its connection counts as a success only if its engine accepts a new connection, else as a crash.

The simulation of fleets runs for requests too, and through keepers. core/tests/fatal_parts.rs is core/tests/causes.rs, with the same cases and bounds.

--- a/core/src/peers.rs
+++ b/core/src/peers.rs
@@ -1,5 +1,6 @@
 //! The other entries that this one knows, with the last message from each.
 
+use crate::hash;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -19,6 +20,8 @@
     pub fanout: usize,
     /// Number of addresses of other entries in one message, which has to fit into a datagram.
     pub hints: usize,
+    /// Number of entries that keep what is not yet known widely.
+    pub keepers: usize,
     /// Time between two rounds.
     pub period: Duration,
 }
@@ -31,6 +34,7 @@
             expiry: Duration::from_secs(20),
             fanout: 3,
             hints: 40,
+            keepers: 3,
             period: Duration::from_secs(1),
         }
     }
@@ -123,6 +127,19 @@
         self.known.keys().copied()
     }
 
+    /// Addresses of the entries that keep what is known of `key`, without this one: those with the highest hashes, so
+    /// that entries agree on them without an exchange.
+    pub fn keepers(&self, key: u64) -> Vec<SocketAddr> {
+        let known = self.addresses().chain([self.own]);
+        let mut keepers: Vec<_> = known
+            .map(|address| (rendezvous(key, address), address))
+            .collect();
+        keepers.sort_unstable_by(|one, other| other.cmp(one));
+        keepers.truncate(self.options.keepers);
+        let addresses = keepers.into_iter().map(|(_, address)| address);
+        addresses.filter(|address| *address != self.own).collect()
+    }
+
     /// Addresses of other entries that a message names, so that its receiver learns of them: a random choice, since
     /// a fixed one would make all entries learn of the same few. `draw` returns a random number below its argument.
     ///
@@ -160,6 +177,10 @@
     }
 }
 
+fn rendezvous(key: u64, address: SocketAddr) -> u64 {
+    hash::number(&[&key.to_le_bytes(), address.to_string().as_bytes()])
+}
+
 /// At most `count` of `addresses`, drawn at random.
 fn sample(
     mut addresses: Vec<SocketAddr>,
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -42,7 +42,6 @@
 /// evidence on one crash the lower one in the order of [`Evidence`] stays.
 #[derive(Clone, Debug)]
 pub struct Quarantine {
-    evicted: u64,
     options: Options,
     records: BTreeMap<Fingerprint, Record>,
 }
@@ -57,17 +56,11 @@
     /// Creates a quarantine without suspects.
     pub const fn new(options: Options) -> Self {
         Self {
-            evicted: 0,
             options,
             records: BTreeMap::new(),
         }
     }
 
-    /// Number of suspects that were dropped so far, since there were too many.
-    pub const fn evicted(&self) -> u64 {
-        self.evicted
-    }
-
     /// Number of suspects.
     pub fn len(&self) -> usize {
         self.records.len()
@@ -161,7 +154,6 @@
             };
             let fingerprint = *fingerprint;
             self.records.remove(&fingerprint);
-            self.evicted += 1;
         }
     }
 }
--- a/core/tests/fatal_parts.rs
+++ b/core/tests/causes.rs
@@ -1,6 +1,6 @@
-//! Parts of prompts that crash upstreams, told apart from those that are merely beside them.
+//! Requests and parts of prompts that crash upstreams, told apart from those that are merely beside them.
 
-use almondwell_core::fatal_parts::{FatalParts, Options};
+use almondwell_core::causes::{Cause, Causes, Options, is_known_widely};
 use almondwell_schema::Suspect;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -8,16 +8,18 @@
 use std::time::Duration;
 
 const NOW: Duration = Duration::from_secs(100);
-const FATAL: u64 = 0xbad;
-const SYSTEM: u64 = 1;
-const OTHER: u64 = 2;
+const FATAL: Cause = Cause::Part(0xbad);
+const SYSTEM: Cause = Cause::Part(1);
+const OTHER: Cause = Cause::Part(2);
+const REQUEST: Cause = Cause::Request(1);
+const FATAL_REQUEST: Cause = Cause::Request(0);
 
 /// What became of one request.
 #[derive(Clone, Copy)]
 enum Event {
     /// Its upstream crashed; the crash has this number.
-    Crashed(&'static [u64], u64),
-    Served(&'static [u64]),
+    Crashed(&'static [Cause], u64),
+    Served(&'static [Cause]),
 }
 
 use Event::{Crashed, Served};
@@ -26,7 +28,7 @@
     ($($name:ident: $events:expr, $parts:expr => $is_fatal:expr;)*) => {
         $(#[test]
         fn $name() {
-            let mut parts = FatalParts::default();
+            let mut parts = Causes::default();
             for event in &$events {
                 match event {
                     Crashed(ids, crash) => drop(parts.record_crash(NOW, ids, *crash)),
@@ -48,10 +50,15 @@
     a_success_clears_a_fatal_part: [Crashed(&[SYSTEM], 1), Crashed(&[SYSTEM], 2), Crashed(&[SYSTEM], 3), Crashed(&[SYSTEM], 4), Served(&[SYSTEM])], [SYSTEM] => false;
     a_part_beside_a_fatal_one_is_not: [Crashed(&[SYSTEM, FATAL], 1), Crashed(&[SYSTEM, FATAL], 2), Crashed(&[SYSTEM, FATAL], 3), Crashed(&[SYSTEM, FATAL], 4)], [SYSTEM, OTHER] => false;
     a_part_with_further_crashes_is_fatal_itself: [Crashed(&[SYSTEM, FATAL], 1), Crashed(&[SYSTEM, FATAL], 2), Crashed(&[SYSTEM, FATAL], 3), Crashed(&[SYSTEM, FATAL], 4), Crashed(&[SYSTEM, OTHER], 5)], [SYSTEM, OTHER] => true;
+    two_crashes_of_a_request_are_too_few: [Crashed(&[REQUEST], 1), Crashed(&[REQUEST], 2)], [REQUEST] => false;
+    a_request_of_three_crashes_is_fatal: [Crashed(&[SYSTEM, REQUEST], 1), Crashed(&[SYSTEM, REQUEST], 2), Crashed(&[SYSTEM, REQUEST], 3)], [SYSTEM, REQUEST] => true;
+    a_part_of_a_fatal_request_is_not: [Crashed(&[SYSTEM, REQUEST], 1), Crashed(&[SYSTEM, REQUEST], 2), Crashed(&[SYSTEM, REQUEST], 3), Crashed(&[SYSTEM, REQUEST], 4)], [SYSTEM, OTHER] => false;
+    an_answer_clears_a_request: [Crashed(&[REQUEST], 1), Crashed(&[REQUEST], 2), Served(&[REQUEST]), Crashed(&[REQUEST], 3)], [REQUEST] => false;
+    a_request_is_not_the_part_of_the_same_number: [Crashed(&[REQUEST], 1), Crashed(&[REQUEST], 2), Crashed(&[REQUEST], 3), Crashed(&[REQUEST], 4)], [SYSTEM] => false;
     a_request_beside_fatal_ones_is_not: [Crashed(&[FATAL], 1), Crashed(&[OTHER], 1), Crashed(&[FATAL], 2), Crashed(&[OTHER], 2), Crashed(&[FATAL], 3), Crashed(&[OTHER], 3), Crashed(&[FATAL], 4), Crashed(&[OTHER], 4)], [SYSTEM, OTHER] => false;
 }
 
-fn crashed(parts: &mut FatalParts, at: Duration, part: u64, crashes: std::ops::Range<u64>) {
+fn crashed(parts: &mut Causes, at: Duration, part: Cause, crashes: std::ops::Range<u64>) {
     for crash in crashes {
         parts.record_crash(at, &[part], crash);
     }
@@ -59,7 +66,7 @@
 
 #[test]
 fn a_part_that_was_served_lately_is_not_fatal() {
-    let mut parts = FatalParts::default();
+    let mut parts = Causes::default();
     parts.record_success(NOW, &[SYSTEM]);
     crashed(&mut parts, NOW, SYSTEM, 0..9);
     let sound = Options::default().sound;
@@ -70,7 +77,7 @@
 
 #[test]
 fn a_suspicion_expires() {
-    let mut parts = FatalParts::default();
+    let mut parts = Causes::default();
     crashed(&mut parts, NOW, FATAL, 0..4);
     assert!(parts.refuses(NOW, &[FATAL]));
     assert!(!parts.refuses(NOW + Options::default().retention, &[FATAL]));
@@ -78,12 +85,12 @@
 
 #[test]
 fn an_entry_that_served_a_part_clears_it_at_another() {
-    let (mut one, mut other) = (FatalParts::default(), FatalParts::default());
+    let (mut one, mut other) = (Causes::default(), Causes::default());
     other.record_success(NOW, &[SYSTEM]);
     crashed(&mut one, NOW, SYSTEM, 0..4);
     assert!(one.refuses(NOW, &[SYSTEM]));
-    let reply = other.merge(NOW, &one.suspect(NOW, SYSTEM).unwrap());
-    assert_eq!(one.merge(NOW, &reply.unwrap()), None);
+    let reply = other.merge(NOW, SYSTEM, &one.suspect(NOW, SYSTEM).unwrap());
+    assert_eq!(one.merge(NOW, SYSTEM, &reply.unwrap()), None);
     assert!(!one.refuses(NOW, &[SYSTEM]));
 }
 
@@ -91,14 +98,14 @@
 fn crashes_seen_by_several_entries_add_up_in_any_order() {
     let mut reports = Vec::new();
     for crash in 0..4 {
-        let mut entry = FatalParts::default();
+        let mut entry = Causes::default();
         reports.append(&mut entry.record_crash(NOW, &[FATAL], crash));
     }
     for _ in 0..2 {
         reports.reverse();
-        let mut entry = FatalParts::default();
-        for report in reports.iter().chain(&reports) {
-            entry.merge(NOW, report);
+        let mut entry = Causes::default();
+        for (cause, report) in reports.iter().chain(&reports) {
+            entry.merge(NOW, *cause, report);
         }
         assert!(entry.refuses(NOW, &[FATAL]));
     }
@@ -110,15 +117,16 @@
         capacity: 8,
         ..Options::default()
     };
-    let mut parts = FatalParts::new(options);
+    let mut parts = Causes::new(options);
     crashed(&mut parts, NOW, FATAL, 0..4);
     for part in 1000..2000 {
-        parts.record_crash(NOW, &[part], part);
-        parts.record_success(NOW + Duration::from_millis(part), &[part + 5000]);
+        parts.record_crash(NOW, &[Cause::Part(part)], part);
+        let sound = Cause::Part(part + 5000);
+        parts.record_success(NOW + Duration::from_millis(part), &[sound]);
     }
     assert!(parts.refuses(NOW + Duration::from_secs(1), &[FATAL]));
     assert_eq!(parts.fatal(NOW).len(), 1);
-    assert_eq!(parts.suspect(NOW, 1000), None);
+    assert_eq!(parts.suspect(NOW, Cause::Part(1000)), None);
 }
 
 /// Sizes of a simulated fleet.
@@ -126,6 +134,8 @@
 struct Sizes {
     engines: usize,
     entries: usize,
+    /// What crashes each engine.
+    fatal: Cause,
     /// Share of reports between entries that are lost.
     loss: f64,
 }
@@ -134,18 +144,19 @@
 struct Run {
     ends_at: Duration,
     entry: usize,
-    parts: Vec<u64>,
+    causes: Vec<Cause>,
 }
 
 /// Entries that send requests to engines. A crashed engine breaks off all that it runs and is back after some time.
 struct Load {
     back_at: Vec<Duration>,
     crashed_at: Vec<Duration>,
-    entries: Vec<FatalParts>,
-    /// Arrivals of requests with the fatal part at engines.
+    entries: Vec<Causes>,
+    /// Arrivals of requests with the fatal cause at engines.
     fatal_arrivals: Vec<Duration>,
     now: Duration,
     refused: usize,
+    requests: u64,
     rng: StdRng,
     running: BTreeMap<usize, Vec<Run>>,
     served: usize,
@@ -156,16 +167,18 @@
     const DOWN: Duration = Duration::from_secs(3);
     const GOSSIP: Duration = Duration::from_secs(1);
     const FANOUT: usize = 3;
+    const KEEPERS: u64 = 3;
     const STEP: Duration = Duration::from_millis(20);
 
     fn new(sizes: Sizes, seed: u64) -> Self {
         Self {
             back_at: vec![Duration::ZERO; sizes.engines],
             crashed_at: Vec::new(),
-            entries: vec![FatalParts::default(); sizes.entries],
+            entries: vec![Causes::default(); sizes.entries],
             fatal_arrivals: Vec::new(),
             now: NOW,
             refused: 0,
+            requests: 0,
             rng: StdRng::seed_from_u64(seed),
             running: BTreeMap::new(),
             served: 0,
@@ -173,7 +186,7 @@
         }
     }
 
-    /// Runs for 40 s; from the fifth one on, five requests a second have the fatal part.
+    /// Runs for 40 s; from the fifth one on, five requests a second have the fatal cause.
     fn run(&mut self) {
         let mut gossip_at = NOW;
         while self.now < NOW + Duration::from_secs(40) {
@@ -194,14 +207,25 @@
 
     fn request(&mut self, is_fatal: bool) {
         let group = self.rng.random_range(0..6);
-        let part = if is_fatal { FATAL } else { 20 + group };
-        let parts = vec![10 + group % 2, part];
+        self.requests += 1;
+        let mut causes = vec![
+            Cause::Part(10 + group % 2),
+            Cause::Part(20 + group),
+            Cause::Request(self.requests),
+        ];
+        if is_fatal {
+            // Beside the fatal cause, the request has the same ones as others.
+            match self.sizes.fatal {
+                Cause::Part(_) => causes[1] = self.sizes.fatal,
+                Cause::Request(_) => causes[2] = self.sizes.fatal,
+            }
+        }
         let entry = self.rng.random_range(0..self.sizes.entries);
         let engine = self.rng.random_range(0..self.sizes.engines);
         if self.back_at[engine] > self.now {
             return;
         }
-        if self.entries[entry].refuses(self.now, &parts) {
+        if self.entries[entry].refuses(self.now, &causes) {
             self.refused += usize::from(!is_fatal);
             return;
         }
@@ -209,7 +233,7 @@
         let run = Run {
             ends_at,
             entry,
-            parts,
+            causes,
         };
         self.running.entry(engine).or_default().push(run);
         if is_fatal {
@@ -225,7 +249,7 @@
         self.crashed_at.push(self.now);
         self.back_at[engine] = self.now + Self::DOWN;
         for run in self.running.remove(&engine).unwrap_or_default() {
-            let reports = self.entries[run.entry].record_crash(self.now, &run.parts, crash);
+            let reports = self.entries[run.entry].record_crash(self.now, &run.causes, crash);
             self.report(run.entry, &reports);
         }
     }
@@ -241,39 +265,58 @@
             })
             .collect();
         for run in ended {
-            let reports = self.entries[run.entry].record_success(now, &run.parts);
+            let reports = self.entries[run.entry].record_success(now, &run.causes);
             self.report(run.entry, &reports);
         }
     }
 
     fn gossip(&mut self) {
         for from in 0..self.sizes.entries {
-            let fatal = self.entries[from].fatal(self.now);
+            let entry = &self.entries[from];
+            let fatal = entry.fatal(self.now);
+            let fatal: Vec<_> = fatal
+                .iter()
+                .filter_map(|cause| Some((*cause, entry.suspect(self.now, *cause)?)))
+                .collect();
             for _ in 0..Self::FANOUT {
                 let to = self.rng.random_range(0..self.sizes.entries);
-                for part in &fatal {
-                    self.send(from, to, part);
+                for (cause, suspect) in &fatal {
+                    self.send(from, to, *cause, suspect);
                 }
             }
         }
     }
 
-    fn report(&mut self, from: usize, reports: &[Suspect]) {
-        for report in reports {
+    /// Reports to the keepers of each cause, or to all entries once it is known from two crashes.
+    fn report(&mut self, from: usize, reports: &[(Cause, Suspect)]) {
+        for (cause, suspect) in reports {
             for to in 0..self.sizes.entries {
-                self.send(from, to, report);
+                let rank = (cause.id() + to as u64) % self.sizes.entries as u64;
+                let is_keeper = rank < Self::KEEPERS;
+                if is_keeper || is_known_widely(suspect) {
+                    self.send(from, to, *cause, suspect);
+                }
             }
         }
     }
 
-    fn send(&mut self, from: usize, to: usize, suspect: &Suspect) {
+    fn send(&mut self, from: usize, to: usize, cause: Cause, suspect: &Suspect) {
         if from == to || self.rng.random_bool(self.sizes.loss) {
             return;
         }
-        if let Some(reply) = self.entries[to].merge(self.now, suspect)
+        let known = self.entries[to].suspect(self.now, cause);
+        if let Some(reply) = self.entries[to].merge(self.now, cause, suspect)
             && !self.rng.random_bool(self.sizes.loss)
         {
-            self.entries[from].merge(self.now, &reply);
+            self.entries[from].merge(self.now, cause, &reply);
+        }
+        let merged = self.entries[to].suspect(self.now, cause);
+        if let Some(merged) = merged
+            && is_known_widely(&merged)
+            && !known.as_ref().is_some_and(is_known_widely)
+            && !is_known_widely(suspect)
+        {
+            self.report(to, &[(cause, merged)]);
         }
     }
 }
@@ -282,25 +325,32 @@
     ($($name:ident: $sizes:expr;)*) => {
         $(#[test]
         fn $name() {
-            (0..20).for_each(|seed| stops_a_fatal_part($sizes, seed));
+            (0..20).for_each(|seed| stops_a_fatal_cause($sizes, seed));
         })*
     };
 }
 
 loads! {
-    stops_a_fatal_part_in_a_small_fleet: Sizes { engines: 12, entries: 4, loss: 0.0 };
-    stops_a_fatal_part_in_a_large_fleet: Sizes { engines: 120, entries: 24, loss: 0.0 };
-    stops_a_fatal_part_while_reports_are_lost: Sizes { engines: 24, entries: 8, loss: 0.3 };
+    stops_a_fatal_part_in_a_small_fleet: Sizes { engines: 12, entries: 4, fatal: FATAL, loss: 0.0 };
+    stops_a_fatal_part_in_a_large_fleet: Sizes { engines: 120, entries: 24, fatal: FATAL, loss: 0.0 };
+    stops_a_fatal_part_while_reports_are_lost: Sizes { engines: 24, entries: 8, fatal: FATAL, loss: 0.3 };
+    stops_a_fatal_request_in_a_small_fleet: Sizes { engines: 12, entries: 4, fatal: FATAL_REQUEST, loss: 0.0 };
+    stops_a_fatal_request_in_a_large_fleet: Sizes { engines: 120, entries: 24, fatal: FATAL_REQUEST, loss: 0.0 };
+    stops_a_fatal_request_while_reports_are_lost: Sizes { engines: 24, entries: 8, fatal: FATAL_REQUEST, loss: 0.3 };
 }
 
-/// The platform allows three more requests from 4 s after the fifth crash on. Sound requests share their first part
-/// with those that crash engines.
-fn stops_a_fatal_part(sizes: Sizes, seed: u64) {
+/// The platform allows three more requests from 4 s after the fifth crash under a part, or the third under a request.
+/// Sound requests share their first part with those that crash engines.
+fn stops_a_fatal_cause(sizes: Sizes, seed: u64) {
     const CONTACT: Duration = Duration::from_secs(4);
     let mut load = Load::new(sizes, seed);
     load.run();
-    let late = load.crashed_at.get(4).map_or(0, |fifth| {
-        let late = |at: &&Duration| **at > *fifth + CONTACT;
+    let crashes = match sizes.fatal {
+        Cause::Part(_) => 5,
+        Cause::Request(_) => 3,
+    };
+    let late = load.crashed_at.get(crashes - 1).map_or(0, |last| {
+        let late = |at: &&Duration| **at > *last + CONTACT;
         load.fatal_arrivals.iter().filter(late).count()
     });
     assert!(late <= 3, "seed {seed}: {late} late arrivals");
--- a/router/src/crash.rs
+++ b/router/src/crash.rs
@@ -1,190 +1,236 @@
 //! Detection of requests, and of parts of prompts, that crash the upstreams that run them. They are then quarantined.
 
 use crate::backend::Backend;
+use crate::connection::Connection;
 use crate::delivery::{Delivery, attempt_id};
 use crate::peers;
 use crate::request::Request;
 use crate::router::Router;
-use almondwell_core::fatal_parts::FatalParts;
+use almondwell_core::causes::{Cause, Causes, is_known_widely};
 use almondwell_core::hash;
-use almondwell_core::job::PartId;
-use almondwell_core::quarantine::Quarantine;
-use almondwell_schema::{CrashId, Suspect, SuspectPart};
-use async_std::future::timeout;
+use almondwell_schema::{CrashId, Fingerprint, Suspect};
 use async_std::io;
-use async_std::net::TcpStream;
-use async_std::task;
+use async_std::task::{self, JoinHandle};
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// Time within which a live upstream accepts a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Checks in the background whether an upstream crashed after its connection failed during a request; if so,
-/// records the request and the parts of its prompt as suspects and reports them to all peers.
+/// Why it is not known whether an upstream still runs.
+#[derive(Clone, Copy, Eq, PartialEq)]
+pub(crate) enum Sign {
+    /// Its answer ended with its connection, which a crash may have closed.
+    Ended,
+    /// A connection failed, or nothing arrived on it.
+    Failed,
+}
+
+/// What merging another entry's knowledge of a cause has changed.
+pub(crate) struct Merged {
+    /// Whether all entries have to know of the cause from now on.
+    pub(crate) is_newly_widely_known: bool,
+    /// What the other entry has to know.
+    pub(crate) reply: Option<Suspect>,
+}
+
+/// Checks in the background whether an upstream crashed while it ran the request; if so, records the request and the
+/// parts of its prompt as suspects and reports them to other entries.
 ///
-/// An upstream that still accepts connections only lost this one; a crashed upstream accepts none. One that does not
-/// even refuse them may be cut off, which is no evidence against the parts.
-pub(crate) fn check(delivery: Delivery<'_>, backend: &Arc<Backend>, events: u32) {
+/// An upstream that still accepts connections did not crash; a crashed one accepts none. One that does not even
+/// refuse them may be cut off, which is no evidence against the parts, and little against the request: any answer
+/// clears it.
+pub(crate) fn check(
+    delivery: Delivery<'_>,
+    backend: &Arc<Backend>,
+    events: u32,
+    sign: Sign,
+) -> JoinHandle<()> {
     let (router, backend) = (delivery.router.clone(), backend.clone());
-    let fingerprint = delivery.admitted.fingerprint;
     let attempt_id: Box<str> = attempt_id(delivery.request).into();
-    let parts = if delivery.progress.is_sound() {
-        Vec::new()
-    } else {
-        part_ids(delivery.request)
-    };
+    let request = Cause::Request(delivery.admitted.fingerprint);
+    let all = causes(delivery.request, delivery.admitted.fingerprint);
+    let is_sound = delivery.progress.is_sound();
     task::spawn(async move {
-        let connect = TcpStream::connect(backend.upstream.address);
-        let connected = timeout(CONNECT_TIMEOUT, connect).await;
-        if matches!(connected, Ok(Ok(_))) {
-            return;
-        }
         let upstream = &backend.upstream;
-        let id = hash::number(&[attempt_id.as_bytes(), upstream.id.as_bytes()]);
-        // Other requests, also of other entries, may have run there at the same time.
-        let is_alone = false;
-        let (suspect, suspects, evicted) = {
-            let mut quarantine = lock_quarantine(&router);
-            let suspect = quarantine.record_crash(router.now(), fingerprint, id, is_alone);
-            (suspect, quarantine.len(), quarantine.evicted())
+        let is_refused = match Connection::open(upstream.address, CONNECT_TIMEOUT).await {
+            Ok(connection) => {
+                backend.put_idle(connection);
+                if sign == Sign::Ended {
+                    clear(&router, &all);
+                }
+                return;
+            }
+            Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+        };
+        // The parts are not at fault if the upstream had answered the request for a while, or may be cut off.
+        let causes = if is_refused && !is_sound {
+            all
+        } else {
+            vec![request]
+        };
+        let started = upstream.started_ms.unwrap_or(0).to_le_bytes();
+        let crash = hash::number(&[upstream.id.as_bytes(), &started]);
+        let reports = record(&router, &causes, crash);
+        let (crashes, suspects, evicted) = {
+            let known = lock_causes(&router);
+            (known.crashes(request), known.len(), known.evicted())
         };
         spdlog::warn!("upstream crashed while running a request", kv: {
             request = attempt_id.as_ref(), upstream = upstream.id.as_ref(),
-            fingerprint = format!("{fingerprint:x}"), crashes = suspect.crashes.len(),
-            parts = format_parts(&parts), events, suspects, evicted
+            fingerprint = format!("{:x}", request.id()), crashes, parts = format_parts(&causes),
+            events, suspects, evicted
         });
-        peers::broadcast(&router, &suspect.into()).await;
-        let is_refused =
-            matches!(connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused);
-        if is_refused {
-            let started = upstream.started_ms.unwrap_or(0).to_le_bytes();
-            let crash = hash::number(&[upstream.id.as_bytes(), &started]);
-            let reports = record_part_crash(&router, &parts, crash);
-            report_parts(&router, reports).await;
-        }
-    });
+        report(&router, reports).await;
+    })
 }
 
 /// Logs that a request is sent although upstreams crashed while they were running it.
 pub(crate) fn log_suspect(delivery: Delivery<'_>, backend: &Backend) {
-    let Delivery {
-        admitted, router, ..
-    } = delivery;
-    let suspect = lock_quarantine(router).suspect(router.now(), admitted.fingerprint);
-    if let Some(suspect) = suspect {
+    let fingerprint = delivery.admitted.fingerprint;
+    let crashes = lock_causes(delivery.router).crashes(Cause::Request(fingerprint));
+    if crashes > 0 {
         spdlog::info!("suspected request sent", kv: {
             request = attempt_id(delivery.request), upstream = backend.upstream.id.as_ref(),
-            fingerprint = format!("{:x}", admitted.fingerprint), crashes = suspect.crashes.len()
+            fingerprint = format!("{fingerprint:x}"), crashes
         });
     }
 }
 
-/// Records that an upstream crashed under `parts`; returns what other entries have to know.
-fn record_part_crash(router: &Router, parts: &[PartId], crash: CrashId) -> Vec<Suspect> {
+/// Records that an upstream crashed under `causes`; returns what other entries have to know.
+fn record(router: &Router, causes: &[Cause], crash: CrashId) -> Vec<(Cause, Suspect)> {
     let now = router.now();
-    let mut fatal_parts = lock_fatal_parts(router);
-    let was_fatal: Vec<_> = parts
-        .iter()
-        .map(|part| fatal_parts.is_fatal(now, *part))
-        .collect();
-    let reports = fatal_parts.record_crash(now, parts, crash);
-    if !reports.is_empty() {
-        // Other entries may know more of the parts than their reports have told this one.
-        router.fatal_requests.read();
-    }
-    for (part, was_fatal) in parts.iter().zip(was_fatal) {
-        if !was_fatal && fatal_parts.is_fatal(now, *part) {
-            router.fatal_requests.write();
-            fatal_parts
-                .suspect(now, *part)
-                .iter()
-                .for_each(log_fatal_part);
+    let mut known = lock_causes(router);
+    let were_fatal = known.fatal(now);
+    let reports = known.record_crash(now, causes, crash);
+    for cause in causes {
+        if !were_fatal.contains(cause) && known.is_fatal(now, *cause) {
+            router.cause_writes.request();
+            log_fatal(*cause, known.crashes(*cause));
         }
     }
     reports
 }
 
-/// Records that an upstream answers the request without a crash; does nothing if that was recorded for this send.
-pub(crate) fn record_success(delivery: Delivery<'_>) {
-    if delivery.progress.set_sound() {
-        return;
-    }
-    let router = delivery.router;
-    let parts = part_ids(delivery.request);
-    if parts.is_empty() {
-        return;
+/// Records that an upstream has been answering the request for a while, which clears the parts of its prompt.
+pub(crate) fn record_progress(delivery: Delivery<'_>) {
+    if !delivery.progress.set_sound() {
+        clear(delivery.router, &parts(delivery.request));
     }
+}
+
+/// Records that an upstream answered the request completely, which clears all of its causes.
+pub(crate) fn record_success(delivery: Delivery<'_>) {
+    let all = causes(delivery.request, delivery.admitted.fingerprint);
+    clear(delivery.router, &all);
+}
+
+fn clear(router: &Arc<Router>, causes: &[Cause]) {
     let now = router.now();
     let (was_fatal, reports) = {
-        let mut fatal_parts = lock_fatal_parts(router);
-        let was_fatal = parts.iter().any(|part| fatal_parts.is_fatal(now, *part));
-        (was_fatal, fatal_parts.record_success(now, &parts))
+        let mut known = lock_causes(router);
+        let was_fatal = causes.iter().any(|cause| known.is_fatal(now, *cause));
+        (was_fatal, known.record_success(now, causes))
     };
     if was_fatal {
-        router.fatal_requests.write();
+        router.cause_writes.request();
     }
     if !reports.is_empty() {
         let router = router.clone();
-        task::spawn(async move { report_parts(&router, reports).await });
+        task::spawn(async move { report(&router, reports).await });
     }
 }
 
-/// Whether the request's prompt has a part that crashes upstreams.
-pub(crate) fn is_fatal(router: &Router, request: &Request) -> bool {
-    let parts = part_ids(request);
-    !parts.is_empty() && lock_fatal_parts(router).refuses(router.now(), &parts)
+/// Whether the request is expected to crash the upstream that runs it.
+pub(crate) fn is_fatal(router: &Router, request: &Request, fingerprint: Fingerprint) -> bool {
+    lock_causes(router).refuses(router.now(), &causes(request, fingerprint))
 }
 
-/// Merges what another entry knows of a part; returns what that entry has to know.
-pub(crate) fn merge_part(router: &Router, suspect: &Suspect) -> Option<Suspect> {
+/// Whether an upstream has crashed while it was running the request.
+pub(crate) fn is_suspect(router: &Router, fingerprint: Fingerprint) -> bool {
+    lock_causes(router).crashes(Cause::Request(fingerprint)) > 0
+}
+
+/// Merges what another entry knows of a cause.
+pub(crate) fn merge(router: &Router, cause: Cause, suspect: &Suspect) -> Merged {
     let now = router.now();
-    let part = suspect.fingerprint;
-    let mut fatal_parts = lock_fatal_parts(router);
-    let was_fatal = fatal_parts.is_fatal(now, part);
-    let reply = fatal_parts.merge(now, suspect);
-    if !was_fatal && fatal_parts.is_fatal(now, part) {
-        log_fatal_part(suspect);
+    let mut known = lock_causes(router);
+    let is_known_widely = |known: &Causes| {
+        let suspect = known.suspect(now, cause);
+        suspect.as_ref().is_some_and(is_known_widely)
+    };
+    let was_fatal = known.is_fatal(now, cause);
+    let was_known_widely = is_known_widely(&known);
+    let reply = known.merge(now, cause, suspect);
+    if !was_fatal && known.is_fatal(now, cause) {
+        log_fatal(cause, known.crashes(cause));
         // Of all entries, only those that saw a crash write.
-        if fatal_parts.is_reported(part) {
-            router.fatal_requests.write();
+        if known.is_reported(cause) {
+            router.cause_writes.request();
         }
     }
-    reply
+    Merged {
+        is_newly_widely_known: !was_known_widely && is_known_widely(&known),
+        reply,
+    }
 }
 
-fn log_fatal_part(suspect: &Suspect) {
-    spdlog::warn!("part of prompts quarantined", kv: {
-        part = format!("{:x}", suspect.fingerprint), crashes = suspect.crashes.len()
-    });
+/// All fatal parts of prompts.
+pub(crate) fn fatal_parts(router: &Router) -> Vec<Suspect> {
+    fatal(router, |cause| matches!(cause, Cause::Part(_)))
 }
 
-async fn report_parts(router: &Router, reports: Vec<Suspect>) {
-    for suspect in reports {
-        peers::broadcast(router, &SuspectPart { suspect }.into()).await;
+/// All fatal requests.
+pub(crate) fn fatal_requests(router: &Router) -> Vec<Suspect> {
+    fatal(router, |cause| matches!(cause, Cause::Request(_)))
+}
+
+fn fatal(router: &Router, is_wanted: impl Fn(Cause) -> bool) -> Vec<Suspect> {
+    let (now, known) = (router.now(), lock_causes(router));
+    let fatal = known.fatal(now).into_iter();
+    fatal
+        .filter(|cause| is_wanted(*cause))
+        .filter_map(|cause| known.suspect(now, cause))
+        .collect()
+}
+
+fn log_fatal(cause: Cause, crashes: usize) {
+    match cause {
+        Cause::Part(part) => spdlog::warn!("part of prompts quarantined", kv: {
+            part = format!("{part:x}"), crashes
+        }),
+        Cause::Request(fingerprint) => spdlog::warn!("request quarantined", kv: {
+            fingerprint = format!("{fingerprint:x}"), crashes
+        }),
     }
 }
 
-/// Identifiers of the parts of the request's prompt that other requests may share.
-fn part_ids(request: &Request) -> Vec<PartId> {
-    request.job.shared().iter().map(|part| part.id).collect()
+async fn report(router: &Router, reports: Vec<(Cause, Suspect)>) {
+    for (cause, suspect) in reports {
+        peers::report(router, cause, suspect).await;
+    }
+}
+
+/// The parts of the request's prompt that other requests may share, and the request itself.
+fn causes(request: &Request, fingerprint: Fingerprint) -> Vec<Cause> {
+    let mut causes = parts(request);
+    causes.push(Cause::Request(fingerprint));
+    causes
 }
 
-fn format_parts(parts: &[PartId]) -> String {
-    let ids: Vec<_> = parts.iter().map(|id| format!("{id:x}")).collect();
-    ids.join(",")
+fn parts(request: &Request) -> Vec<Cause> {
+    let parts = request.job.shared().iter();
+    parts.map(|part| Cause::Part(part.id)).collect()
 }
 
-pub(crate) fn lock_fatal_parts(router: &Router) -> MutexGuard<'_, FatalParts> {
-    router
-        .fatal_parts
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
+fn format_parts(causes: &[Cause]) -> String {
+    let parts = causes.iter().filter_map(|cause| match cause {
+        Cause::Part(id) => Some(format!("{id:x}")),
+        Cause::Request(_) => None,
+    });
+    parts.collect::<Vec<_>>().join(",")
 }
 
-pub(crate) fn lock_quarantine(router: &Router) -> MutexGuard<'_, Quarantine> {
-    router
-        .quarantine
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
+pub(crate) fn lock_causes(router: &Router) -> MutexGuard<'_, Causes> {
+    router.causes.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -2,14 +2,16 @@
 
 use crate::backend::{Backend, Queued, View};
 use crate::connection::{Connection, Error};
+use crate::crash::{self, Sign};
 use crate::dispatch::{Admitted, Outcome, Progress, overload_retry_after, retry_after};
+use crate::events::Events;
+use crate::framing::Framing;
 use crate::refusal::{Reason, Refusal};
 use crate::relay::{self, RelayOutcome};
 use crate::request::{MAX_HEADERS, Request};
 use crate::response::Head;
 use crate::router::{Router, milliseconds};
 use crate::selection::{Selection, base_limit, select};
-use crate::{crash, events::Events};
 use almondwell_core::table::Retry;
 use almondwell_platform::headers::{self, Envelope};
 use almondwell_schema::Verdict;
@@ -77,7 +79,7 @@
         };
         history.tried.push(backend.upstream.id.clone());
         let is_retry = history.sends > 0;
-        if is_retry && crash::is_fatal(delivery.router, delivery.request) {
+        if is_retry && is_fatal(delivery) {
             return give_up(delivery, history, Reason::Quarantined).await;
         }
         if is_retry && !take_retry(delivery) {
@@ -110,7 +112,12 @@
             SendOutcome::CallerClosed => return Outcome::CallerClosed,
             SendOutcome::Error(_) => {
                 history.may_have_run = true;
-                crash::check(delivery, &backend, history.events.count());
+                let is_suspect = crash::is_suspect(delivery.router, delivery.admitted.fingerprint);
+                let check = crash::check(delivery, &backend, history.events.count(), Sign::Failed);
+                if is_suspect {
+                    // Its result decides whether the request may be sent again.
+                    check.await;
+                }
             }
             SendOutcome::Failed(failure) => {
                 history.may_have_run = true;
@@ -129,6 +136,16 @@
     }
 }
 
+fn is_fatal(delivery: Delivery<'_>) -> bool {
+    let Delivery {
+        admitted,
+        request,
+        router,
+        ..
+    } = delivery;
+    crash::is_fatal(router, request, admitted.fingerprint)
+}
+
 fn take_retry(delivery: Delivery<'_>) -> bool {
     let Delivery {
         admitted, router, ..
@@ -211,7 +228,14 @@
     drop(inflight);
     progress.set_queued(None);
     match &sent {
-        SendOutcome::Completed { .. } => backend.record_success(router.now()),
+        SendOutcome::Completed { .. } => {
+            backend.record_success(router.now());
+            if head.framing == Framing::Close {
+                crash::check(delivery, backend, history.events.count(), Sign::Ended);
+            } else {
+                crash::record_success(delivery);
+            }
+        }
         SendOutcome::Error(_) => backend.record_failure(router.now()),
         SendOutcome::Failed(failure) if failure.head.status >= 500 => {
             backend.record_failure(router.now());
--- a/router/src/dispatch.rs
+++ b/router/src/dispatch.rs
@@ -7,7 +7,6 @@
 use crate::request::Request;
 use crate::router::{Router, milliseconds};
 use almondwell_core::hash;
-use almondwell_core::quarantine::Treatment;
 use almondwell_core::table::{Rank, Route, Workspace};
 use almondwell_daemon::disconnected;
 use almondwell_schema::{Fingerprint, Verdict};
@@ -142,13 +141,13 @@
         .services
         .record_request(router.now(), &admitted.service);
     let progress = Progress::default();
-    let delivery = delivery::run(Delivery {
+    let delivery = Delivery {
         admitted: &admitted,
         caller,
         progress: &progress,
         request,
         router,
-    });
+    };
     let remaining = admitted
         .deadline
         .saturating_sub(request.received_at.elapsed());
@@ -160,7 +159,11 @@
         disconnected(caller).await;
         Outcome::CallerClosed
     };
-    let outcome = or(delivery, or(deadline_exceeded, caller_closed)).await;
+    let outcome = or(
+        delivery::run(delivery),
+        or(deadline_exceeded, caller_closed),
+    )
+    .await;
     log(router, request, Some(&admitted), &progress, outcome);
     outcome
 }
@@ -213,12 +216,7 @@
         .service(rand::rng().random())
         .ok_or_else(|| Refusal::retryable(Reason::NoUpstream, retry_after()))?;
     let fingerprint = fingerprint(request);
-    let treatment = router
-        .quarantine
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .treatment(router.now(), fingerprint);
-    if treatment == Treatment::Refused || crash::is_fatal(router, request) {
+    if crash::is_fatal(router, request, fingerprint) {
         return Err(Refusal::retryable(Reason::Quarantined, retry_after()));
     }
     let band = job.model.as_ref().map(|_| {
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -5,6 +5,7 @@
 mod backend;
 mod buffer;
 mod caller;
+mod cause_objects;
 mod connection;
 mod crash;
 mod delivery;
@@ -12,7 +13,6 @@
 mod drain;
 mod endpoints;
 pub mod events;
-mod fatal_object;
 mod fields;
 pub mod framing;
 mod metrics;
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -1,8 +1,9 @@
 //! Gossip between entries: the work that they send to engines, the version of their configuration and requests
 //! that crash upstreams. An entry that cannot reach the store fetches its contents from another entry.
 
-use crate::crash;
+use crate::crash::{self, Merged};
 use crate::router::Router;
+use almondwell_core::causes::{Cause, is_known_widely};
 use almondwell_core::fleet::Source;
 use almondwell_core::upstream::{State, Upstream};
 use almondwell_platform::decode;
@@ -29,7 +30,7 @@
 pub(crate) async fn gossip(router: Arc<Router>) {
     loop {
         let digest = digest(&router);
-        let parts: Vec<_> = sample(crash::lock_fatal_parts(&router).fatal(router.now()))
+        let parts: Vec<_> = sample(crash::fatal_parts(&router))
             .map(|suspect| SuspectPart { suspect })
             .collect();
         let (targets, period) = {
@@ -48,30 +49,46 @@
     }
 }
 
-/// Sends a datagram to all known entries immediately.
-pub(crate) async fn broadcast(router: &Router, datagram: &Datagram) {
-    let addresses: Vec<_> = lock_peers(router).addresses().collect();
+/// Sends what is known of a suspected cause to its keepers, or to all known entries once all have to know it.
+pub(crate) async fn report(router: &Router, cause: Cause, suspect: Suspect) {
+    let addresses = {
+        let peers = lock_peers(router);
+        if is_known_widely(&suspect) {
+            peers.addresses().collect()
+        } else {
+            peers.keepers(cause.id())
+        }
+    };
+    let datagram = datagram(cause, suspect);
     for address in addresses {
-        send(router, datagram, address).await;
+        send(router, &datagram, address).await;
     }
 }
 
+fn datagram(cause: Cause, suspect: Suspect) -> Datagram {
+    match cause {
+        Cause::Part(_) => SuspectPart { suspect }.into(),
+        Cause::Request(_) => suspect.into(),
+    }
+}
+
+/// Whether no other entry has been heard of lately.
+pub(crate) fn is_isolated(router: &Router) -> bool {
+    lock_peers(router).addresses().next().is_none()
+}
+
 /// Receives and handles datagrams from other entries, forever.
 pub(crate) async fn receive(router: Arc<Router>) {
     loop {
         match router.socket.receive().await {
             Ok((Datagram::Digest(digest), _)) => handle_digest(&router, digest).await,
             Ok((Datagram::Suspect(suspect), from)) => {
-                if crash::lock_quarantine(&router).merge(router.now(), &suspect) {
-                    spdlog::warn!("peer reported a request that may crash upstreams", kv: {
-                        from = from.to_string(), crashes = suspect.crashes.len()
-                    });
-                }
+                let cause = Cause::Request(suspect.fingerprint);
+                handle_suspect(&router, cause, &suspect, from).await;
             }
             Ok((Datagram::SuspectPart(part), from)) => {
-                if let Some(suspect) = crash::merge_part(&router, &part.suspect) {
-                    send(&router, &SuspectPart { suspect }.into(), from).await;
-                }
+                let cause = Cause::Part(part.suspect.fingerprint);
+                handle_suspect(&router, cause, &part.suspect, from).await;
             }
             Ok((_, from)) => {
                 spdlog::debug!("unexpected datagram ignored", kv: { from = from.to_string() });
@@ -84,6 +101,24 @@
     }
 }
 
+async fn handle_suspect(router: &Arc<Router>, cause: Cause, suspect: &Suspect, from: SocketAddr) {
+    let Merged {
+        is_newly_widely_known,
+        reply,
+    } = crash::merge(router, cause, suspect);
+    if let Some(reply) = reply {
+        send(router, &datagram(cause, reply), from).await;
+    }
+    // Another keeper may lack one of the crashes, and the entries that saw them know only their own.
+    if is_newly_widely_known && !is_known_widely(suspect) {
+        let known = crash::lock_causes(router).suspect(router.now(), cause);
+        if let Some(known) = known {
+            let router = router.clone();
+            task::spawn(async move { report(&router, cause, known).await });
+        }
+    }
+}
+
 /// Serves other entries' requests for the contents of the store, forever.
 pub(crate) async fn serve(router: Arc<Router>, listener: TcpListener) {
     let turn = Turn::default();
@@ -107,7 +142,6 @@
 
 fn digest(router: &Router) -> Digest {
     let now = router.now();
-    let suspects = crash::lock_quarantine(router).suspects(now);
     Digest {
         entry: router.settings.id.clone(),
         control: router.settings.control,
@@ -115,7 +149,7 @@
         revision: router.revision(),
         shares: router.services.shares(now),
         peers: lock_peers(router).hints(|below| rand::rng().random_range(0..below)),
-        suspects: sample(suspects).collect(),
+        suspects: sample(crash::fatal_requests(router)).collect(),
     }
 }
 
@@ -150,7 +184,7 @@
 async fn handle_digest(router: &Arc<Router>, digest: Digest) {
     let now = router.now();
     for suspect in &digest.suspects {
-        crash::lock_quarantine(router).merge(now, suspect);
+        crash::merge(router, Cause::Request(suspect.fingerprint), suspect);
     }
     let own_version = router.table().map_or(0, |table| table.version);
     let (from, version, revision) = (digest.control, digest.version, digest.revision);
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -71,7 +71,6 @@
         }
     }
     record_first_byte(delivery, head);
-    crash::record_success(delivery);
     match write_response(delivery, head, &body).await {
         Some(is_keep_alive) => RelayOutcome::Completed { is_keep_alive },
         None => RelayOutcome::CallerClosed,
@@ -142,7 +141,7 @@
             record_first_token(delivery);
             let now = delivery.router.now();
             if now.saturating_sub(*first_event_at.get_or_insert(now)) >= SOUND_AFTER {
-                crash::record_success(delivery);
+                crash::record_progress(delivery);
             }
         }
         let is_unframed = head.framing == Framing::Close;
@@ -162,7 +161,6 @@
             return RelayOutcome::Error(Error::IncompleteEvent);
         }
         if is_last {
-            crash::record_success(delivery);
             return writer.completed();
         }
     }
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -1,15 +1,14 @@
 //! State of a router process, shared by all connections.
 
 use crate::backend::Backend;
+use crate::cause_objects;
 use crate::drain::Drain;
-use crate::fatal_object;
 use crate::metrics::Metrics;
 use crate::services::Services;
-use almondwell_core::fatal_parts::FatalParts;
+use almondwell_core::causes::Causes;
 use almondwell_core::fleet::{self, Change, Fleet};
 use almondwell_core::peers::{self, Peers};
 use almondwell_core::placement;
-use almondwell_core::quarantine::Quarantine;
 use almondwell_core::table::Table;
 use almondwell_core::upstream::{Upstream, UpstreamId};
 use almondwell_daemon::Clock;
@@ -34,9 +33,9 @@
     backends: Mutex<BTreeMap<UpstreamId, Arc<Backend>>>,
     pub(crate) clock: Clock,
     pub(crate) drain: Drain,
-    /// Parts of prompts that crash upstreams.
-    pub(crate) fatal_parts: Mutex<FatalParts>,
-    pub(crate) fatal_requests: fatal_object::Requests,
+    /// Requests and parts of prompts that crash upstreams.
+    pub(crate) causes: Mutex<Causes>,
+    pub(crate) cause_writes: cause_objects::Writes,
     fleet: Mutex<Fleet>,
     pub(crate) services: Services,
     /// Whether the configuration has been read since the store was last unreachable.
@@ -46,7 +45,6 @@
     pub(crate) objects: Objects,
     pub(crate) peers: Mutex<Peers<Digest>>,
     pub(crate) placement: placement::Options,
-    pub(crate) quarantine: Mutex<Quarantine>,
     ready: ArcSwap<Ready>,
     /// Region of each availability zone.
     regions: BTreeMap<Box<str>, Box<str>>,
@@ -71,10 +69,10 @@
             .collect();
         Self {
             backends: Mutex::default(),
+            causes: Mutex::default(),
+            cause_writes: cause_objects::Writes::default(),
             clock: Clock::start(),
             drain: Drain::default(),
-            fatal_parts: Mutex::default(),
-            fatal_requests: fatal_object::Requests::default(),
             services: Services::new(&settings),
             fleet: Mutex::new(Fleet::new(fleet::Options {
                 removal_grace: settings.drain.mul_f64(REMOVAL_GRACE_SHARE),
@@ -89,7 +87,6 @@
                 settings.seeds.clone(),
             )),
             placement: placement::Options::default(),
-            quarantine: Mutex::default(),
             ready: ArcSwap::default(),
             regions,
             socket,
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -1,7 +1,7 @@
 //! Startup and shutdown of a router process.
 
 use crate::router::Router;
-use crate::{caller, endpoints, fatal_object, peers, watch};
+use crate::{caller, cause_objects, endpoints, peers, watch};
 use almondwell_daemon::{signals, wait_for_stop};
 use almondwell_platform::store::Kind;
 use almondwell_schema::RouterSettings;
@@ -47,7 +47,8 @@
     task::spawn(peers::serve(router.clone(), peer_listener));
     task::spawn(peers::receive(router.clone()));
     task::spawn(peers::gossip(router.clone()));
-    task::spawn(fatal_object::replicate(router.clone()));
+    task::spawn(cause_objects::follow(router.clone()));
+    task::spawn(cause_objects::write(router.clone()));
     task::spawn(watch::expire(router.clone()));
     task::spawn(endpoints::ready(router.clone(), ready));
     task::spawn(endpoints::admin(router.clone(), admin));
