Notice a crash whose request nobody waits for any more

An engine that loses power breaks a connection only after three seconds of probes, and lookups have less time than that.

Cause: the check of the engine ran in the delivery, which ends with the caller's wait.

Change: when a request ends while an engine still has it, and that engine has sent nothing for half a second or since the request reached it, it is checked.

--- a/router/src/backend.rs
+++ b/router/src/backend.rs
@@ -23,6 +23,9 @@
 /// parts that are unused for longer.
 const PART_TTL: Duration = Duration::from_secs(20);
 
+/// Time without a byte from a running upstream after which it may have crashed; longer than the pauses of most streams.
+const SILENCE: Duration = Duration::from_millis(500);
+
 /// Snapshot of one upstream as this entry observes it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct View {
@@ -46,6 +49,8 @@
     backlog: Backlog,
     failures: f64,
     failures_at: Duration,
+    /// Time of the last bytes from it.
+    heard_at: Duration,
     load: Option<(Load, Duration)>,
     /// Shared prompt parts that it has prefilled for this entry, with the time of their last use.
     parts: BTreeMap<PartId, Duration>,
@@ -163,6 +168,16 @@
         }
     }
 
+    pub(crate) fn record_bytes(&self, now: Duration) {
+        self.lock().heard_at = now;
+    }
+
+    /// Whether nothing has arrived from it lately, nor since `sent_at`.
+    pub(crate) fn is_silent(&self, now: Duration, sent_at: Duration) -> bool {
+        let heard_at = self.lock().heard_at;
+        heard_at <= sent_at || now.saturating_sub(heard_at) >= SILENCE
+    }
+
     pub(crate) fn record_failure(&self, now: Duration) {
         let mut state = self.lock();
         state.failures = decayed_failures(&state, now) + 1.0;
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -207,16 +207,19 @@
     let bytes = encode_request(delivery, history, backend);
     progress.set_verdict(Verdict::MayHaveRun);
     progress.reset_sound();
+    progress.set_holder(router.now(), Some(backend));
     let head = match connection
         .exchange(&bytes, &request.method, router.settings.max_answer)
         .await
     {
         Ok(head) => head,
         Err(error) => {
+            progress.set_holder(router.now(), None);
             backend.record_failure(router.now());
             return SendOutcome::Error(error);
         }
     };
+    backend.record_bytes(router.now());
     drop(bytes);
     // 421: the request was meant for another upstream than the one that now has this address.
     if head.status == 421 {
@@ -226,6 +229,7 @@
     }
     let sent = handle_response(delivery, history, &head, &mut connection).await;
     drop(inflight);
+    progress.set_holder(router.now(), None);
     progress.set_queued(None);
     match &sent {
         SendOutcome::Completed { .. } => {
--- a/router/src/dispatch.rs
+++ b/router/src/dispatch.rs
@@ -1,7 +1,7 @@
 //! Admits a request, runs its delivery against the deadline, and logs the outcome.
 
-use crate::backend::Queued;
-use crate::crash;
+use crate::backend::{Backend, Queued};
+use crate::crash::{self, Sign};
 use crate::delivery::{self, Delivery};
 use crate::refusal::{Reason, Refusal};
 use crate::request::Request;
@@ -16,7 +16,7 @@
 use rand::Rng;
 use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU16, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// Default range of the `Retry-After` time.
@@ -60,6 +60,8 @@
     /// Milliseconds until the start of the response.
     first_byte_ms: AtomicU64,
     has_started: AtomicBool,
+    /// The upstream that has the request, and when it was sent there.
+    holder: Mutex<Option<(Arc<Backend>, Duration)>>,
     /// Whether the upstream that has the request has shown that the request does not crash it.
     is_sound: AtomicBool,
     /// Status of the response that is being relayed; 0 while there is none.
@@ -74,6 +76,22 @@
         *self.queued.lock().unwrap_or_else(PoisonError::into_inner) = queued;
     }
 
+    /// Sets or clears the upstream that has the request, to which it was sent at `now`.
+    pub(crate) fn set_holder(&self, now: Duration, holder: Option<&Arc<Backend>>) {
+        *self.lock_holder() = holder.map(|backend| (backend.clone(), now));
+    }
+
+    /// Records that bytes have arrived from the upstream that has the request.
+    pub(crate) fn record_bytes(&self, now: Duration) {
+        if let Some((backend, _)) = &*self.lock_holder() {
+            backend.record_bytes(now);
+        }
+    }
+
+    fn lock_holder(&self) -> MutexGuard<'_, Option<(Arc<Backend>, Duration)>> {
+        self.holder.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records the first token of the current send; returns how long the request waited and its prefill
     /// tokens, or `None` if this was recorded before.
     pub(crate) fn first_token(&self, now: Duration) -> Option<(Duration, u32)> {
@@ -164,10 +182,22 @@
         or(deadline_exceeded, caller_closed),
     )
     .await;
+    check_holder(delivery);
     log(router, request, Some(&admitted), &progress, outcome);
     outcome
 }
 
+/// Checks whether the upstream that still has the request crashed, unless it has sent something lately.
+fn check_holder(delivery: Delivery<'_>) {
+    let holder = delivery.progress.lock_holder().take();
+    if let Some((backend, sent_at)) = holder
+        && backend.is_silent(delivery.router.now(), sent_at)
+    {
+        let events = delivery.progress.events.load(Ordering::Acquire);
+        crash::check(delivery, &backend, events, Sign::Failed);
+    }
+}
+
 /// Random `Retry-After` time under overload, up to a third of the time until the request's deadline. Callers
 /// that retried at once would meet the same load peak.
 pub(crate) fn overload_retry_after(remaining: Duration) -> Duration {
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -61,6 +61,7 @@
             Ok(is_done) => is_done,
             Err(error) => return RelayOutcome::Error(error),
         };
+        delivery.progress.record_bytes(delivery.router.now());
         body.append(&mut chunk);
         if is_done {
             break;
@@ -136,6 +137,7 @@
             Ok(is_done) => is_done,
             Err(error) => return RelayOutcome::Error(error),
         };
+        delivery.progress.record_bytes(delivery.router.now());
         let complete = events.push(&chunk);
         if !complete.is_empty() {
             record_first_token(delivery);
