--- a/router/src/backend.rs
+++ b/router/src/backend.rs
@@ -51,6 +51,8 @@
     failures_at: Duration,
     /// Time of the last bytes from it.
     heard_at: Duration,
+    /// Requests a second that it takes from all entries, as last named; `None` if it names no limit.
+    limit: Option<f64>,
     load: Option<(Load, Duration)>,
     /// Shared prompt parts that it has prefilled for this entry, with the time of their last use.
     parts: BTreeMap<PartId, Duration>,
@@ -178,6 +180,17 @@
         heard_at <= sent_at || now.saturating_sub(heard_at) >= SILENCE
     }
 
+    /// Records the requests a second that it takes, as named in an answer.
+    pub(crate) fn record_limit(&self, limit: Option<f64>) {
+        let previous = std::mem::replace(&mut self.lock().limit, limit);
+        if previous != limit {
+            spdlog::info!("limit of an upstream changed", kv: {
+                upstream = self.upstream.id.as_ref(), per_second = limit.unwrap_or(-1.0),
+                previous = previous.unwrap_or(-1.0)
+            });
+        }
+    }
+
     pub(crate) fn record_failure(&self, now: Duration) {
         let mut state = self.lock();
         state.failures = decayed_failures(&state, now) + 1.0;
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -226,6 +226,7 @@
         backend.mark_replaced();
     } else {
         backend.record_load(router.now(), head.metadata.load);
+        backend.record_limit(head.metadata.limit);
     }
     let sent = handle_response(delivery, history, &head, &mut connection).await;
     drop(inflight);
