Keep the limits that upstreams name

Cause: no entry read `Server-Limit`; the header went to callers and not to the choice of the upstream.

Without a permission the upstream is not eligible; if no other is left, the request is refused at once as not run. An answer to a later request that names no limit lifts it.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod precedence;
 pub mod quarantine;
 mod queue;
+pub mod quota;
 mod rate;
 mod reservation;
 pub mod retries;
--- a/router/src/backend.rs
+++ b/router/src/backend.rs
@@ -3,6 +3,7 @@
 use crate::connection::Connection;
 use almondwell_core::backlog::{Backlog, Ticket};
 use almondwell_core::job::PartId;
+use almondwell_core::quota::Quota;
 use almondwell_core::upstream::Upstream;
 use almondwell_platform::headers::Load;
 use async_std::io;
@@ -44,6 +45,13 @@
 /// Time in which the weight of a failure halves; a crashed upstream is back after a few seconds.
 pub const FAILURE_HALF_LIFE: Duration = Duration::from_secs(1);
 
+/// Requests that an upstream takes from all entries together, as last named.
+#[derive(Clone, Copy, Debug)]
+struct Limit {
+    named_at: Duration,
+    per_second: f64,
+}
+
 #[derive(Debug, Default)]
 struct State {
     backlog: Backlog,
@@ -51,9 +59,10 @@
     failures_at: Duration,
     /// Time of the last bytes from it.
     heard_at: Duration,
-    /// Requests a second that it takes from all entries, as last named; `None` if it names no limit.
-    limit: Option<f64>,
+    limit: Option<Limit>,
     load: Option<(Load, Duration)>,
+    /// When it may get requests while it names a limit.
+    quota: Quota,
     /// Shared prompt parts that it has prefilled for this entry, with the time of their last use.
     parts: BTreeMap<PartId, Duration>,
 }
@@ -180,9 +189,28 @@
         heard_at <= sent_at || now.saturating_sub(heard_at) >= SILENCE
     }
 
-    /// Records the requests a second that it takes, as named in an answer.
-    pub(crate) fn record_limit(&self, limit: Option<f64>) {
-        let previous = std::mem::replace(&mut self.lock().limit, limit);
+    /// Records the requests a second that it takes from all entries, as named in the answer to a request sent at
+    /// `sent_at`; `None` if the answer names no limit.
+    pub(crate) fn record_limit(&self, now: Duration, sent_at: Duration, limit: Option<f64>) {
+        let mut state = self.lock();
+        let previous = state.limit;
+        match (limit, previous) {
+            (Some(per_second), _) => {
+                let named_at = now;
+                state.limit = Some(Limit {
+                    named_at,
+                    per_second,
+                });
+            }
+            // Answers may overtake each other: this one may be older than the one that named the limit.
+            (None, Some(previous)) if sent_at < previous.named_at => return,
+            (None, _) => {
+                state.limit = None;
+                state.quota = Quota::default();
+            }
+        }
+        drop(state);
+        let previous = previous.map(|previous| previous.per_second);
         if previous != limit {
             spdlog::info!("limit of an upstream changed", kv: {
                 upstream = self.upstream.id.as_ref(), per_second = limit.unwrap_or(-1.0),
@@ -191,6 +219,29 @@
         }
     }
 
+    /// Whether the upstream's limit, shared by `entries`, allows a request; `draw` is a random number below 1.
+    pub(crate) fn is_open(&self, now: Duration, entries: usize, draw: f64) -> bool {
+        let mut state = self.lock();
+        let Some(limit) = state.limit else {
+            return true;
+        };
+        state.quota.update(now, limit.per_second, entries, draw);
+        state.quota.is_open(now)
+    }
+
+    /// Takes a request from this entry's share of the upstream's limit; `false` if none is left.
+    pub(crate) fn take_quota(&self, now: Duration, entries: usize, draw: f64) -> bool {
+        let mut state = self.lock();
+        let Some(limit) = state.limit else {
+            return true;
+        };
+        let is_open = state.quota.is_open(now);
+        if is_open {
+            state.quota.take(now, limit.per_second, entries, draw);
+        }
+        is_open
+    }
+
     pub(crate) fn record_failure(&self, now: Duration) {
         let mut state = self.lock();
         state.failures = decayed_failures(&state, now) + 1.0;
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -74,6 +74,8 @@
     loop {
         let (backend, view) = match select(delivery, &history) {
             Selection::Selected(backend, view) => (backend, view),
+            Selection::Limited if history.sends == 0 => return refuse_limited(delivery),
+            Selection::Limited => return give_up(delivery, history, Reason::UpstreamsFull).await,
             Selection::Overloaded(wait) => return refuse_overloaded(delivery, wait),
             Selection::None => return give_up(delivery, history, Reason::NoUpstream).await,
         };
@@ -207,7 +209,8 @@
     let bytes = encode_request(delivery, history, backend);
     progress.set_verdict(Verdict::MayHaveRun);
     progress.reset_sound();
-    progress.set_holder(router.now(), Some(backend));
+    let sent_at = router.now();
+    progress.set_holder(sent_at, Some(backend));
     let head = match connection
         .exchange(&bytes, &request.method, router.settings.max_answer)
         .await
@@ -226,7 +229,7 @@
         backend.mark_replaced();
     } else {
         backend.record_load(router.now(), head.metadata.load);
-        backend.record_limit(head.metadata.limit);
+        backend.record_limit(router.now(), sent_at, head.metadata.limit);
     }
     let sent = handle_response(delivery, history, &head, &mut connection).await;
     drop(inflight);
@@ -342,22 +345,32 @@
 
 /// Refuses a request whose estimated queue wait exceeds its limit.
 fn refuse_overloaded(delivery: Delivery<'_>, wait: Duration) -> Outcome {
+    let admitted = delivery.admitted;
+    spdlog::info!("request refused: estimated queue wait exceeds the limit", kv: {
+        request = attempt_id(delivery.request), wait_ms = milliseconds(wait),
+        rank = admitted.rank, limit_ms = milliseconds(base_limit(delivery)),
+        target_ms = milliseconds(admitted.route.target)
+    });
+    refuse(delivery)
+}
+
+/// Refuses a request while all upstreams are at the limits that they name.
+fn refuse_limited(delivery: Delivery<'_>) -> Outcome {
+    spdlog::info!("request refused: all upstreams are at their limits", kv: {
+        request = attempt_id(delivery.request), rank = delivery.admitted.rank
+    });
+    refuse(delivery)
+}
+
+/// Refuses a request that was not sent, since the upstreams have no room for it.
+fn refuse(delivery: Delivery<'_>) -> Outcome {
     let Delivery {
-        admitted,
-        request,
-        router,
-        ..
+        admitted, router, ..
     } = delivery;
     let limit = base_limit(delivery);
-    let now = router.now();
     router
         .services
-        .record_refusal(now, &admitted.service, admitted.rank, limit);
-    spdlog::info!("request refused: estimated queue wait exceeds the limit", kv: {
-        request = attempt_id(request), wait_ms = milliseconds(wait),
-        rank = admitted.rank, limit_ms = milliseconds(limit),
-        target_ms = milliseconds(admitted.route.target)
-    });
+        .record_refusal(router.now(), &admitted.service, admitted.rank, limit);
     let left = remaining(delivery);
     Outcome::Refused(Refusal::retryable(
         Reason::UpstreamsFull,
--- a/router/src/selection.rs
+++ b/router/src/selection.rs
@@ -3,6 +3,7 @@
 use crate::backend::{Backend, View};
 use crate::delivery::{Delivery, History};
 use almondwell_core::placement::{self, Candidate, Prompt};
+use rand::Rng;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +14,8 @@
 
 /// Result of the selection.
 pub(crate) enum Selection {
+    /// All upstreams that are left name a limit, and this entry's share of it allows no request now.
+    Limited,
     /// An upstream whose estimated wait is within the limit, and the state it was selected by. The limit only
     /// applies to the first send.
     Selected(Arc<Backend>, View),
@@ -42,7 +45,13 @@
         Selection::Selected(backend, view) => Selection::Selected(backend, view),
         Selection::Overloaded(wait) => match among(wider) {
             Selection::Selected(backend, view) => Selection::Selected(backend, view),
-            Selection::Overloaded(_) | Selection::None => Selection::Overloaded(wait),
+            Selection::Limited | Selection::Overloaded(_) | Selection::None => {
+                Selection::Overloaded(wait)
+            }
+        },
+        Selection::Limited => match among(backends) {
+            Selection::Limited | Selection::None => Selection::Limited,
+            selection => selection,
         },
         Selection::None => among(backends),
     }
@@ -77,10 +86,17 @@
         ..
     } = delivery;
     let now = router.now();
-    let eligible: Vec<_> = backends
+    let entries = router.services.entries();
+    let mut rng = rand::rng();
+    let mut eligible: Vec<_> = backends
         .iter()
         .filter(|backend| !backend.is_replaced() && !history.tried.contains(&backend.upstream.id))
         .collect();
+    let count = eligible.len();
+    eligible.retain(|backend| backend.is_open(now, entries, rng.random()));
+    if eligible.is_empty() && count > 0 {
+        return Selection::Limited;
+    }
     let rate = router.services.prefill_rate(&admitted.service);
     let part = request.job.shared().last().map(|part| part.id);
     let views: Vec<_> = eligible
@@ -116,5 +132,8 @@
     if history.sends == 0 && limit.is_some_and(|limit| wait > limit) {
         return Selection::Overloaded(wait);
     }
+    if !eligible[index].take_quota(now, entries, rng.random()) {
+        return Selection::Limited;
+    }
     Selection::Selected(eligible[index].clone(), views[index])
 }
--- a/router/src/services.rs
+++ b/router/src/services.rs
@@ -46,7 +46,7 @@
 pub(crate) struct Services {
     /// Assignment of ranges of engines to groups of requests.
     bands: PerService<Bands>,
-    /// Number of entries that share the retry budget, including this one.
+    /// Number of entries that share retry budgets and limits of upstreams, including this one.
     entries: AtomicUsize,
     /// Recent refusals under overload, by rank.
     precedence: PerService<Precedence>,
@@ -155,7 +155,7 @@
 
     /// Takes a retry from the service's budget; `false` if none is left.
     pub(crate) fn take_retry(&self, now: Duration, service: &str) -> bool {
-        let entries = self.entries.load(Ordering::Acquire);
+        let entries = self.entries();
         let mut services = self.retries.lock();
         // The clock starts with the process, so `now` is also its uptime.
         let uptime = now;
@@ -182,7 +182,12 @@
             });
     }
 
-    /// Records the number of entries. The retry budget is divided by the highest number ever seen, since an
+    /// Number of entries that share budgets and limits, including this one.
+    pub(crate) fn entries(&self) -> usize {
+        self.entries.load(Ordering::Acquire)
+    }
+
+    /// Records the number of entries. Budgets and limits are divided by the highest number ever seen, since an
     /// unreachable entry may still be sending requests.
     pub(crate) fn record_entries(&self, entries: usize) {
         self.entries.fetch_max(entries, Ordering::AcqRel);
