Continue a stream with events alone

It can happen here in one case: a stream breaks off, and the next engine answers with 200 and one object instead of events. The object was relayed as if nothing had begun, so the caller got a second head, and bytes that are no chunk, inside its stream.

Cause: whether the caller has the start of an answer was checked for errors and refusals, not for the kind of a success.

Change: once a stream has begun, an answer that is no stream of events is invalid; the stream resumes elsewhere or is broken off.

Evidence: streams::relays_no_object_inside_a_stream red before ("malformed chunk size"), passes. The cases of an error (500) and of a refusal passed before, and stay as tests.

--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -289,6 +289,9 @@
     }
     let relayed = if delivery.admitted.route.is_stream && head.is_event_stream {
         relay::stream(delivery, head, connection, &mut history.events).await
+    } else if delivery.progress.has_started() {
+        // The caller has the start of a stream, which only events can continue.
+        return SendOutcome::Error(Error::InvalidResponse);
     } else {
         relay::buffered(delivery, head, connection).await
     };
