Take no late refusal of an earlier request for that of a running one

Operators of similar systems saw: a faulty engine wrote an earlier refusal once more on a kept connection, and clients were told "not run, try again" for requests that ran (REFUSED), or these ran at a second engine (TWICE). A late 421 also took its engine out of the choice.

Change: on a reused connection an answer that names no attempt is no answer to this request, whatever its status: the connection is closed, and the request may have run. On a new connection no earlier answer can arrive. Only an answer to this request marks an engine as replaced.

--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -107,7 +107,7 @@
             let progress = delivery.progress;
             progress.set_queued(Some(enqueue(delivery, &backend, view.has_parts)));
         }
-        let sent = send(delivery, &mut history, &backend, connection).await;
+        let sent = send(delivery, &mut history, &backend, connection, is_reused).await;
         log_outcome(delivery, &history, &backend, &sent);
         match sent {
             SendOutcome::Completed { is_keep_alive } => return Outcome::Answered { is_keep_alive },
@@ -198,6 +198,7 @@
     history: &mut History,
     backend: &Arc<Backend>,
     mut connection: Connection,
+    is_reused: bool,
 ) -> SendOutcome {
     let Delivery {
         progress,
@@ -224,14 +225,19 @@
     };
     backend.record_bytes(router.now());
     drop(bytes);
+    let is_stale = is_stale(request, &head, is_reused);
     // 421: the request was meant for another upstream than the one that now has this address.
-    if head.status == 421 {
+    if head.status == 421 && !is_stale {
         backend.mark_replaced();
-    } else {
+    } else if head.status != 421 {
         backend.record_load(router.now(), head.metadata.load);
         backend.record_limit(router.now(), sent_at, head.metadata.limit);
     }
-    let sent = handle_response(delivery, history, &head, &mut connection).await;
+    let sent = if is_stale {
+        SendOutcome::Error(Error::InvalidResponse)
+    } else {
+        handle_response(delivery, history, &head, &mut connection).await
+    };
     drop(inflight);
     progress.set_holder(router.now(), None);
     progress.set_queued(None);
@@ -258,18 +264,23 @@
     sent
 }
 
-/// Validates a response and relays it, unless it is an error response or not for this request.
+/// Whether a response is not for this request: it names another attempt, or arrived on a reused connection and names
+/// none, where it may be a late copy of an earlier response while this request runs.
+fn is_stale(request: &Request, head: &Head, is_reused: bool) -> bool {
+    match &head.metadata.attempt {
+        Some(attempt) => **attempt != *attempt_id(request),
+        None => is_reused,
+    }
+}
+
+/// Validates a response to this request and relays it, unless it is an error response.
 async fn handle_response(
     delivery: Delivery<'_>,
     history: &mut History,
     head: &Head,
     connection: &mut Connection,
 ) -> SendOutcome {
-    let attempt_id = delivery.request.job.attempt.as_deref();
     let metadata = &head.metadata;
-    if metadata.attempt.is_some() && metadata.attempt.as_deref() != attempt_id {
-        return SendOutcome::Error(Error::InvalidResponse);
-    }
     let is_not_run = metadata.is_not_run || head.status == 421;
     if is_not_run || !(200..300).contains(&head.status) {
         let body = match relay::read_body(connection, head).await {
