--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -1,17 +1,18 @@
 //! Delivery of one request: sends it to an upstream, and again to others while a retry is allowed.
 
-use crate::backend::{Backend, Queued, View};
+use crate::backend::{Backend, Queued};
 use crate::connection::{Connection, Error};
 use crate::crash::{self, Sign};
-use crate::dispatch::{Admitted, Outcome, Progress, overload_retry_after, retry_after};
+use crate::dispatch::{Admitted, Outcome, Progress, retry_after};
 use crate::events::Events;
 use crate::framing::Framing;
 use crate::refusal::{Reason, Refusal};
 use crate::relay::{self, RelayOutcome};
 use crate::request::{MAX_HEADERS, Request};
 use crate::response::Head;
-use crate::router::{Router, milliseconds};
-use crate::selection::{Selection, base_limit, select};
+use crate::router::Router;
+use crate::selection::{Selection, select};
+use crate::{overload, send_log};
 use almondwell_core::table::Retry;
 use almondwell_platform::headers::{self, Envelope};
 use almondwell_schema::Verdict;
@@ -34,7 +35,7 @@
 }
 
 /// Outcome of sending the request to one upstream.
-enum SendOutcome {
+pub(crate) enum SendOutcome {
     /// The caller got the complete response.
     Completed { is_keep_alive: bool },
     /// The connection to the upstream failed, or its response is invalid.
@@ -48,9 +49,9 @@
 }
 
 /// Error response of an upstream.
-struct Failure {
+pub(crate) struct Failure {
     body: Vec<u8>,
-    head: Head,
+    pub(crate) head: Head,
 }
 
 /// Sends of a request so far and what they imply for the next one.
@@ -74,9 +75,9 @@
     loop {
         let (backend, view) = match select(delivery, &history) {
             Selection::Selected(backend, view) => (backend, view),
-            Selection::Limited if history.sends == 0 => return refuse_limited(delivery),
+            Selection::Limited if history.sends == 0 => return overload::refuse_limited(delivery),
             Selection::Limited => return give_up(delivery, history, Reason::UpstreamsFull).await,
-            Selection::Overloaded(wait) => return refuse_overloaded(delivery, wait),
+            Selection::Overloaded(wait) => return overload::refuse_overloaded(delivery, wait),
             Selection::None => return give_up(delivery, history, Reason::NoUpstream).await,
         };
         history.tried.push(backend.upstream.id.clone());
@@ -101,14 +102,14 @@
         if delivery.progress.has_started() {
             delivery.router.metrics.resumed.inc();
         }
-        log_send(delivery, &history, &backend, &view, is_reused);
+        send_log::log_send(delivery, &history, &backend, &view, is_reused);
         crash::log_suspect(delivery, &backend);
         if delivery.admitted.band.is_some() {
             let progress = delivery.progress;
             progress.set_queued(Some(enqueue(delivery, &backend, view.has_parts)));
         }
         let sent = send(delivery, &mut history, &backend, connection, is_reused).await;
-        log_outcome(delivery, &history, &backend, &sent);
+        send_log::log_outcome(delivery, &history, &backend, &sent);
         match sent {
             SendOutcome::Completed { is_keep_alive } => return Outcome::Answered { is_keep_alive },
             SendOutcome::CallerClosed => return Outcome::CallerClosed,
@@ -350,48 +351,13 @@
 }
 
 /// Time until the request's deadline.
-fn remaining(delivery: Delivery<'_>) -> Duration {
+pub(crate) fn remaining(delivery: Delivery<'_>) -> Duration {
     delivery
         .admitted
         .deadline
         .saturating_sub(delivery.request.received_at.elapsed())
 }
 
-/// Refuses a request whose estimated queue wait exceeds its limit.
-fn refuse_overloaded(delivery: Delivery<'_>, wait: Duration) -> Outcome {
-    let admitted = delivery.admitted;
-    spdlog::info!("request refused: estimated queue wait exceeds the limit", kv: {
-        request = attempt_id(delivery.request), wait_ms = milliseconds(wait),
-        rank = admitted.rank, limit_ms = milliseconds(base_limit(delivery)),
-        target_ms = milliseconds(admitted.route.target)
-    });
-    refuse(delivery)
-}
-
-/// Refuses a request while all upstreams are at the limits that they name.
-fn refuse_limited(delivery: Delivery<'_>) -> Outcome {
-    spdlog::info!("request refused: all upstreams are at their limits", kv: {
-        request = attempt_id(delivery.request), rank = delivery.admitted.rank
-    });
-    refuse(delivery)
-}
-
-/// Refuses a request that was not sent, since the upstreams have no room for it.
-fn refuse(delivery: Delivery<'_>) -> Outcome {
-    let Delivery {
-        admitted, router, ..
-    } = delivery;
-    let limit = base_limit(delivery);
-    router
-        .services
-        .record_refusal(router.now(), &admitted.service, admitted.rank, limit);
-    let left = remaining(delivery);
-    Outcome::Refused(Refusal::retryable(
-        Reason::UpstreamsFull,
-        overload_retry_after(left),
-    ))
-}
-
 /// Ends a request that no upstream has served successfully.
 async fn give_up(delivery: Delivery<'_>, history: History, reason: Reason) -> Outcome {
     if delivery.progress.has_started() {
@@ -415,43 +381,3 @@
 pub(crate) fn attempt_id(request: &Request) -> &str {
     request.job.attempt.as_deref().unwrap_or("-")
 }
-
-/// Logs the upstream that a request is sent to and the values that the selection was based on.
-fn log_send(
-    delivery: Delivery<'_>,
-    history: &History,
-    backend: &Backend,
-    view: &View,
-    is_reused: bool,
-) {
-    spdlog::info!("request sent", kv: {
-        request = attempt_id(delivery.request),
-        upstream = backend.upstream.id.as_ref(),
-        send = history.sends,
-        band = format!("{:?}", delivery.admitted.band),
-        has_parts = view.has_parts,
-        wait_ms = milliseconds(view.wait),
-        inflight = view.inflight,
-        load = view.load.map_or(0, |(load, _)| load.running + load.waiting),
-        load_age_ms = view.load.map_or(0, |(_, age)| milliseconds(age)),
-        failures = view.failures,
-        is_kept = is_reused,
-        ms = milliseconds(delivery.request.received_at.elapsed())
-    });
-}
-
-/// Logs the outcome of an unsuccessful send.
-fn log_outcome(delivery: Delivery<'_>, history: &History, backend: &Backend, sent: &SendOutcome) {
-    let (outcome, status, detail) = match sent {
-        SendOutcome::Completed { .. } => return,
-        SendOutcome::Error(error) => (error.label(), 0, error.detail()),
-        SendOutcome::CallerClosed => ("caller left", 0, String::new()),
-        SendOutcome::Failed(failure) => ("upstream failed", failure.head.status, String::new()),
-        SendOutcome::NotRun => ("not run", 0, String::new()),
-    };
-    spdlog::info!("send failed", kv: {
-        request = attempt_id(delivery.request), upstream = backend.upstream.id.as_ref(),
-        send = history.sends, outcome, status, detail,
-        ms = milliseconds(delivery.request.received_at.elapsed())
-    });
-}
