--- a/router/src/backend.rs
+++ b/router/src/backend.rs
@@ -63,6 +63,8 @@
     load: Option<(Load, Duration)>,
     /// When it may get requests while it names a limit.
     quota: Quota,
+    /// End of the time for which it wants no request.
+    rest_until: Duration,
     /// Shared prompt parts that it has prefilled for this entry, with the time of their last use.
     parts: BTreeMap<PartId, Duration>,
 }
@@ -90,6 +92,8 @@
 pub(crate) struct Backend {
     idle: Mutex<Vec<Connection>>,
     inflight: AtomicU32,
+    /// Whether it has said that it is leaving, which holds for its lifetime.
+    is_leaving: AtomicBool,
     /// Whether another upstream has responded at its address.
     is_replaced: AtomicBool,
     state: Mutex<State>,
@@ -110,6 +114,7 @@
         Self {
             idle: Mutex::default(),
             inflight: AtomicU32::new(0),
+            is_leaving: AtomicBool::new(false),
             is_replaced: AtomicBool::new(false),
             state: Mutex::default(),
             upstream,
@@ -169,8 +174,34 @@
         self.is_replaced.store(true, Ordering::Release);
     }
 
-    pub(crate) fn is_replaced(&self) -> bool {
-        self.is_replaced.load(Ordering::Acquire)
+    /// Whether it takes no requests any more: it is leaving, or another upstream has its address.
+    pub(crate) fn is_gone(&self) -> bool {
+        self.is_replaced.load(Ordering::Acquire) || self.is_leaving.load(Ordering::Acquire)
+    }
+
+    /// Records that it is leaving. Running requests go on; a registration as ready does not undo it.
+    pub(crate) fn mark_leaving(&self) {
+        if !self.is_leaving.swap(true, Ordering::AcqRel) {
+            spdlog::info!("upstream says that it is leaving", kv: {
+                upstream = self.upstream.id.as_ref()
+            });
+        }
+    }
+
+    /// Records that it wants no request for `rest`. A shorter time does not end a longer one.
+    pub(crate) fn record_rest(&self, now: Duration, rest: Duration) {
+        let until = now + rest;
+        let mut state = self.lock();
+        if until <= state.rest_until {
+            return;
+        }
+        let was_resting = std::mem::replace(&mut state.rest_until, until) > now;
+        drop(state);
+        if !was_resting {
+            spdlog::info!("upstream wants no requests for a time", kv: {
+                upstream = self.upstream.id.as_ref(), seconds = rest.as_secs_f64()
+            });
+        }
     }
 
     pub(crate) fn record_load(&self, now: Duration, load: Option<Load>) {
@@ -219,9 +250,13 @@
         }
     }
 
-    /// Whether the upstream's limit, shared by `entries`, allows a request; `draw` is a random number below 1.
+    /// Whether the upstream wants requests now, and its limit, shared by `entries`, allows one; `draw` is a random number
+    /// below 1.
     pub(crate) fn is_open(&self, now: Duration, entries: usize, draw: f64) -> bool {
         let mut state = self.lock();
+        if now < state.rest_until {
+            return false;
+        }
         let Some(limit) = state.limit else {
             return true;
         };
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -14,7 +14,7 @@
 use crate::selection::{Selection, select};
 use crate::{overload, send_log};
 use almondwell_core::table::Retry;
-use almondwell_platform::headers::{self, Envelope};
+use almondwell_platform::headers::{self, Envelope, Phase};
 use almondwell_schema::Verdict;
 use async_std::net::TcpStream;
 use std::io::Write;
@@ -233,6 +233,16 @@
     } else if head.status != 421 {
         backend.record_load(router.now(), head.metadata.load);
         backend.record_limit(router.now(), sent_at, head.metadata.limit);
+        if head.metadata.phase == Phase::Leaving {
+            backend.mark_leaving();
+        }
+        if let Some(rest) = head
+            .metadata
+            .rest
+            .filter(|_| head.status == 503 && !is_stale)
+        {
+            backend.record_rest(router.now(), rest);
+        }
     }
     let sent = if is_stale {
         SendOutcome::Error(Error::InvalidResponse)
--- a/router/src/selection.rs
+++ b/router/src/selection.rs
@@ -14,7 +14,7 @@
 
 /// Result of the selection.
 pub(crate) enum Selection {
-    /// All upstreams that are left name a limit, and this entry's share of it allows no request now.
+    /// All upstreams that are left want no request now, or this entry's share of their limits allows none.
     Limited,
     /// An upstream whose estimated wait is within the limit, and the state it was selected by. The limit only
     /// applies to the first send.
@@ -90,7 +90,7 @@
     let mut rng = rand::rng();
     let mut eligible: Vec<_> = backends
         .iter()
-        .filter(|backend| !backend.is_replaced() && !history.tried.contains(&backend.upstream.id))
+        .filter(|backend| !backend.is_gone() && !history.tried.contains(&backend.upstream.id))
         .collect();
     let count = eligible.len();
     eligible.retain(|backend| backend.is_open(now, entries, rng.random()));
