--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -78,13 +78,16 @@
 
 
 class Store:
-    """Object store with revisions, lists and watches."""
+    """Object store with revisions, lists and watches; it keeps its history for HISTORY_S."""
+
+    HISTORY_S = 20
 
     def __init__(self):
         self.changed = threading.Condition()
         self.revision = 100
         self.objects = {}
         self.history = []
+        self.compacted = 0
         store = self
 
         class StoreHandler(Handler):
@@ -111,8 +114,7 @@
             object_ = self.objects.pop((kind, name), None)
             if object_:
                 self.revision += 1
-                self.history.append((self.revision, kind, True, object_))
-                self.changed.notify_all()
+                self.remember(kind, True, object_)
 
     def _write(self, kind, name, spec):
         self.revision += 1
@@ -124,10 +126,18 @@
             "spec": spec, "status": None,
         }
         self.objects[(kind, name)] = object_
-        self.history.append((self.revision, kind, False, object_))
-        self.changed.notify_all()
+        self.remember(kind, False, object_)
         return object_
 
+    def remember(self, kind, is_deleted, object_):
+        self.history.append((time.monotonic(), self.revision, kind, is_deleted, object_))
+        self.changed.notify_all()
+
+    def forget(self):
+        oldest = time.monotonic() - self.HISTORY_S
+        while self.history and self.history[0][0] < oldest:
+            self.compacted = self.history.pop(0)[1]
+
     def get(self, handler):
         url = urlsplit(handler.path)
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
@@ -149,14 +159,18 @@
         until = time.monotonic() + wait_ms / 1000
         with self.changed:
             while True:
+                self.forget()
+                if since < self.compacted:
+                    break
                 events = [{"deleted": deleted, "object": object_}
-                          for revision, of, deleted, object_ in self.history if of == kind and revision > since]
+                          for _, revision, of, deleted, object_ in self.history if of == kind and revision > since]
                 left = until - time.monotonic()
                 if events or left <= 0:
                     break
                 self.changed.wait(left)
-            batch = {"events": events, "at": self.revision}
-        self.reply(handler, 200, batch)
+            gone = since < self.compacted
+            batch = None if gone else {"events": events, "at": self.revision}
+        self.reply(handler, 410 if gone else 200, batch)
 
     def create(self, handler):
         body = json.loads(handler.read_body())
--- a/review/standins/proxy.py
+++ b/review/standins/proxy.py
@@ -1,4 +1,7 @@
-"""A TCP proxy whose open connections can go silent: nothing is forwarded on them any more, and none is closed."""
+"""A TCP proxy whose open connections can go silent: nothing is forwarded on them any more, and none is closed.
+
+While it is cut, new connections are silent too.
+"""
 
 import socket
 import threading
@@ -9,6 +12,7 @@
         host, port = target.split(":")
         self.target = (host, int(port))
         self.connections = []
+        self.is_cut = False
         self.lock = threading.Lock()
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
@@ -18,7 +22,7 @@
         while True:
             near, _ = self.listener.accept()
             far = socket.create_connection(self.target)
-            connection = {"is_silent": False}
+            connection = {"is_silent": self.is_cut}
             with self.lock:
                 self.connections.append(connection)
             for one in (near, far):
