--- a/almondwell/src/control.rs
+++ b/almondwell/src/control.rs
@@ -34,6 +34,7 @@
         | Datagram::Reserve(_)
         | Datagram::Digest(_)
         | Datagram::Suspect(_)
+        | Datagram::EngineLoads(_)
         | Datagram::SuspectPart(_)
         | Datagram::Withdraw(_) => {
             entry.metrics.datagrams_rejected.inc();
--- a/almondwell/src/once.rs
+++ b/almondwell/src/once.rs
@@ -175,6 +175,7 @@
             | Datagram::Reserve(_)
             | Datagram::Digest(_)
             | Datagram::Suspect(_)
+            | Datagram::EngineLoads(_)
             | Datagram::SuspectPart(_)
             | Datagram::Withdraw(_) => {}
         }
--- a/almondwell/src/reserve.rs
+++ b/almondwell/src/reserve.rs
@@ -126,6 +126,7 @@
             | Datagram::Reserve(_)
             | Datagram::Digest(_)
             | Datagram::Suspect(_)
+            | Datagram::EngineLoads(_)
             | Datagram::SuspectPart(_)
             | Datagram::Withdraw(_) => Step::Wait,
         }
--- a/core/src/backlog.rs
+++ b/core/src/backlog.rs
@@ -1,8 +1,9 @@
 //! Estimate of the queue wait at an engine before the prefill of a new request.
 //!
-//! Engines run prefills in order of arrival. Their load reports lag and don't distinguish queued prompts from
-//! running streams, so the estimate uses only what this entry observes: the age of its oldest queued request,
-//! the wait of the last request that got its first token, and the number of its queued prompt tokens.
+//! Engines run prefills in order of arrival. [`Backlog`] uses what this entry observes: the age of its oldest queued
+//! request, the wait of the last request that got its first token, and the number of its queued prompt tokens. In a
+//! fleet an entry sends an engine few of its requests, so that [`Report`], the queue that the engine reported to any
+//! entry, complements it.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -78,6 +79,25 @@
     }
 }
 
+/// Queue of an engine as the engine itself reported it, with the requests of all entries.
+#[derive(Clone, Copy, Debug)]
+pub struct Report {
+    /// Time since the report.
+    pub age: Duration,
+    /// Number of requests that waited for their prefill.
+    pub waiting: u32,
+}
+
+impl Report {
+    /// Estimated wait of a request sent now if the prefill of each waiting request takes `prefill`.
+    pub fn wait(self, prefill: Duration) -> Duration {
+        // A queue drains no faster than time passes.
+        prefill
+            .saturating_mul(self.waiting)
+            .saturating_sub(self.age)
+    }
+}
+
 /// Estimate of an engine's prefill rate, learned from requests with little queue wait.
 #[derive(Clone, Copy, Debug)]
 pub struct PrefillRate {
--- a/core/src/bands.rs
+++ b/core/src/bands.rs
@@ -67,11 +67,14 @@
     /// engine computes a part once, and again after an eviction.
     const SHARED_PREFILL_FRACTION: f64 = 0.25;
 
+    /// Average number of tokens that an engine has to prefill.
+    pub fn prefill_tokens(self) -> f64 {
+        f64::from(self.own) + Self::SHARED_PREFILL_FRACTION * f64::from(self.shared)
+    }
+
     /// Cost in prefill tokens.
     pub fn tokens(self) -> f64 {
-        f64::from(self.own)
-            + Self::SHARED_PREFILL_FRACTION * f64::from(self.shared)
-            + Self::PREFILL_TOKENS_PER_OUTPUT_TOKEN * f64::from(self.output)
+        self.prefill_tokens() + Self::PREFILL_TOKENS_PER_OUTPUT_TOKEN * f64::from(self.output)
     }
 }
 
--- a/router/src/backend.rs
+++ b/router/src/backend.rs
@@ -2,6 +2,7 @@
 
 use crate::connection::Connection;
 use almondwell_core::backlog::{Backlog, Ticket};
+use almondwell_core::hash;
 use almondwell_core::job::PartId;
 use almondwell_core::quota::Quota;
 use almondwell_core::upstream::Upstream;
@@ -96,6 +97,8 @@
     is_leaving: AtomicBool,
     /// Whether another upstream has responded at its address.
     is_replaced: AtomicBool,
+    /// Hash of its identifier and start time, by which entries name it to each other.
+    pub(crate) key: u32,
     state: Mutex<State>,
     pub(crate) upstream: Upstream,
 }
@@ -116,6 +119,7 @@
             inflight: AtomicU32::new(0),
             is_leaving: AtomicBool::new(false),
             is_replaced: AtomicBool::new(false),
+            key: key(&upstream),
             state: Mutex::default(),
             upstream,
         }
@@ -210,6 +214,29 @@
         }
     }
 
+    /// Records a load that it reported to another entry at `at`, unless a newer one is known; returns whether it was
+    /// recorded.
+    pub(crate) fn merge_load(&self, at: Duration, running: u32, waiting: u32) -> bool {
+        let mut state = self.lock();
+        let is_newer = state.load.is_none_or(|(_, known_at)| known_at < at);
+        if is_newer {
+            let load = Load {
+                slowdown_percent: None,
+                running,
+                slots: self.upstream.slots,
+                waiting,
+            };
+            state.load = Some((load, at));
+        }
+        is_newer
+    }
+
+    /// Its last load report and the report's age.
+    pub(crate) fn load(&self, now: Duration) -> Option<(Load, Duration)> {
+        let load = self.lock().load;
+        load.map(|(load, at)| (load, now.saturating_sub(at)))
+    }
+
     pub(crate) fn record_bytes(&self, now: Duration) {
         self.lock().heard_at = now;
     }
@@ -331,6 +358,15 @@
     }
 }
 
+fn key(upstream: &Upstream) -> u32 {
+    let started = upstream.started_ms.unwrap_or(0).to_le_bytes();
+    let hash = hash::number(&[upstream.id.as_bytes(), &started]);
+    // The low half tells a few thousand engines apart.
+    #[allow(clippy::cast_possible_truncation)]
+    let key = hash as u32;
+    key
+}
+
 fn decayed_failures(state: &State, now: Duration) -> f64 {
     let age = now.saturating_sub(state.failures_at).as_secs_f64();
     state.failures * (-age / FAILURE_HALF_LIFE.as_secs_f64()).exp2()
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod events;
 mod fields;
 pub mod framing;
+mod loads;
 mod metrics;
 mod overload;
 mod peers;
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -22,6 +22,7 @@
 pub(crate) struct Metrics {
     pub(crate) requests: Family<Labels, Counter>,
     pub(crate) first_byte: Histogram,
+    pub(crate) loads_merged: Counter,
     pub(crate) resumed: Counter,
     pub(crate) retries: Counter,
     pub(crate) table_version: Gauge,
@@ -33,6 +34,7 @@
         Self {
             requests: Family::default(),
             first_byte: Histogram::new(BUCKETS),
+            loads_merged: Counter::default(),
             resumed: Counter::default(),
             retries: Counter::default(),
             table_version: Gauge::default(),
@@ -60,6 +62,11 @@
             "Time to the end of a request",
             self.duration.clone(),
         );
+        registry.register(
+            "engine_loads_merged",
+            "Load reports of engines that other entries passed on and that were newer than the known ones",
+            self.loads_merged.clone(),
+        );
         registry.register(
             "resumed",
             "Streams that went on elsewhere",
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -2,6 +2,7 @@
 //! that crash upstreams. An entry that cannot reach the store fetches its contents from another entry.
 
 use crate::crash::{self, Merged};
+use crate::loads;
 use crate::router::Router;
 use almondwell_core::causes::{Cause, is_known_widely};
 use almondwell_core::fleet::Source;
@@ -82,6 +83,7 @@
     loop {
         match router.socket.receive().await {
             Ok((Datagram::Digest(digest), _)) => handle_digest(&router, digest).await,
+            Ok((Datagram::EngineLoads(received), _)) => loads::merge(&router, &received),
             Ok((Datagram::Suspect(suspect), from)) => {
                 let cause = Cause::Request(suspect.fingerprint);
                 handle_suspect(&router, cause, &suspect, from).await;
@@ -160,7 +162,7 @@
     suspects.into_iter().take(MAX_SUSPECTS)
 }
 
-async fn send(router: &Router, datagram: &Datagram, address: SocketAddr) {
+pub(crate) async fn send(router: &Router, datagram: &Datagram, address: SocketAddr) {
     if let Err(error) = router.socket.send(datagram, address).await {
         spdlog::debug!("sending datagram failed", kv: {
             to = address.to_string(), error = error.to_string()
@@ -298,6 +300,6 @@
     Seal::new(&router.settings.secret)
 }
 
-fn lock_peers(router: &Router) -> MutexGuard<'_, Peers> {
+pub(crate) fn lock_peers(router: &Router) -> MutexGuard<'_, Peers> {
     router.peers.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/router/src/selection.rs
+++ b/router/src/selection.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::{Backend, View};
 use crate::delivery::{Delivery, History};
+use almondwell_core::backlog::Report;
 use almondwell_core::placement::{self, Candidate, Prompt};
 use rand::Rng;
 use std::sync::Arc;
@@ -57,6 +58,18 @@
     }
 }
 
+/// Estimated wait at an engine by its last report. The prefill of a request stands for that of those that wait
+/// there, since an engine mostly serves requests of one kind.
+fn reported_wait(view: &View, prefill: Duration) -> Duration {
+    match view.load {
+        Some((load, age)) if age <= MAX_LOAD_AGE => {
+            let waiting = load.waiting;
+            Report { age, waiting }.wait(prefill)
+        }
+        Some(_) | None => Duration::ZERO,
+    }
+}
+
 /// Longest time that the request may wait before its prefill, without regard to overload.
 pub(crate) fn base_limit(delivery: Delivery<'_>) -> Duration {
     delivery.admitted.route.target.mul_f64(QUEUE_SHARE)
@@ -99,9 +112,16 @@
     }
     let rate = router.services.prefill_rate(&admitted.service);
     let part = request.job.shared().last().map(|part| part.id);
+    let prefill = Duration::from_secs_f64(request.job.work().prefill_tokens() / rate / 1000.0);
     let views: Vec<_> = eligible
         .iter()
-        .map(|backend| backend.view(now, part, rate))
+        .map(|backend| {
+            let mut view = backend.view(now, part, rate);
+            if router.settings.exchange_loads {
+                view.wait = view.wait.max(reported_wait(&view, prefill));
+            }
+            view
+        })
         .collect();
     let candidates: Vec<_> = eligible
         .iter()
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -1,7 +1,7 @@
 //! Startup and shutdown of a router process.
 
 use crate::router::Router;
-use crate::{caller, cause_objects, endpoints, peers, watch};
+use crate::{caller, cause_objects, endpoints, loads, peers, watch};
 use almondwell_daemon::{signals, wait_for_stop};
 use almondwell_platform::store::Kind;
 use almondwell_schema::RouterSettings;
@@ -47,6 +47,9 @@
     task::spawn(peers::serve(router.clone(), peer_listener));
     task::spawn(peers::receive(router.clone()));
     task::spawn(peers::gossip(router.clone()));
+    if router.settings.exchange_loads {
+        task::spawn(loads::exchange(router.clone()));
+    }
     task::spawn(cause_objects::follow(router.clone()));
     task::spawn(cause_objects::write(router.clone()));
     task::spawn(watch::expire(router.clone()));
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -241,6 +241,23 @@
     /// Some requests that are suspected of crashing upstreams.
     pub suspects: Vec<Suspect>,
 }
+/// Load of an engine as it reported it to some entry.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EngineLoad {
+    /// Hash of the engine's identifier and start time.
+    pub engine: u32,
+    /// Age of the report in milliseconds.
+    pub age_ms: u32,
+    /// Number of running requests.
+    pub running: u32,
+    /// Number of waiting requests.
+    pub waiting: u32,
+}
+/// Recent loads of engines that an entry knows of.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EngineLoads {
+    pub loads: Vec<EngineLoad>,
+}
 /// UDP message between two processes.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Datagram {
@@ -256,6 +273,7 @@
     Withdraw(Withdraw),
     Digest(Digest),
     SuspectPart(SuspectPart),
+    EngineLoads(EngineLoads),
 }
 impl From<Alive> for Datagram {
     fn from(value: Alive) -> Self {
@@ -317,6 +335,11 @@
         Self::SuspectPart(value)
     }
 }
+impl From<EngineLoads> for Datagram {
+    fn from(value: EngineLoads) -> Self {
+        Self::EngineLoads(value)
+    }
+}
 /// One HTTP header.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Header {
@@ -1296,6 +1319,8 @@
     pub contact: Duration,
     /// Bytes of an answer's body that are read; an upstream that sends more has failed.
     pub max_answer: u64,
+    /// Whether entries pass the load reports of engines on to each other.
+    pub exchange_loads: bool,
     /// Retries that all entries may send for each request to a service.
     pub retry_ratio: Ratio,
     /// Retries that all entries may send beside the ratio in one window.
@@ -1322,6 +1347,7 @@
             grace: crate::parse_default("8s"),
             contact: crate::parse_default("4s"),
             max_answer: crate::parse_default("16777216"),
+            exchange_loads: crate::parse_default("no"),
             retry_ratio: crate::parse_default("0.2"),
             retry_allowance: crate::parse_default("50"),
             retry_window: crate::parse_default("10s"),
@@ -1410,6 +1436,11 @@
             default: "16777216",
             description: "Bytes of an answer's body that are read; an upstream that sends more has failed.",
         },
+        Key {
+            name: "exchange_loads",
+            default: "no",
+            description: "Whether entries pass the load reports of engines on to each other.",
+        },
         Key {
             name: "retry_ratio",
             default: "0.2",
@@ -1492,6 +1523,10 @@
                 self.max_answer = <u64 as Setting>::read(value)
                     .ok_or(Unset::Expected(<u64 as Setting>::EXPECTED))?;
             }
+            "exchange_loads" => {
+                self.exchange_loads = <bool as Setting>::read(value)
+                    .ok_or(Unset::Expected(<bool as Setting>::EXPECTED))?;
+            }
             "retry_ratio" => {
                 self.retry_ratio = <Ratio as Setting>::read(value)
                     .ok_or(Unset::Expected(<Ratio as Setting>::EXPECTED))?;
--- a/side/src/control.rs
+++ b/side/src/control.rs
@@ -57,6 +57,7 @@
         | Datagram::Leaving(_)
         | Datagram::Queued(_)
         | Datagram::Refuse(_)
+        | Datagram::EngineLoads(_)
         | Datagram::SuspectPart(_) => {
             side.metrics.datagrams_rejected.inc();
         }
