--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -146,3 +146,46 @@
     assert_eq!(changes, [("i-a".into(), Change::Changed)]);
     assert!(fleet.replace(at(0), Source::Store, vec![moved]).is_empty());
 }
+
+/// An entry that starts has a list of another entry, and learns from the store that an upstream is gone. The platform's
+/// limit runs from the removal, which may have happened at any time since that list.
+#[test]
+fn a_removal_that_is_learned_late_counts_from_the_last_list() {
+    let mut fleet = Fleet::new(Options {
+        removal_grace: at(2800),
+        ..Options::default()
+    });
+    let list = ["i-a", "i-b"].map(|id| upstream(id, State::Ready));
+    fleet.replace(at(200), Source::Entry, list.to_vec());
+    let listed = vec![upstream("i-b", State::Ready)];
+    let changes = fleet.replace(at(1600), Source::Store, listed);
+    assert_eq!(changes, [("i-a".into(), Change::Held)]);
+    fleet.expire(at(2900));
+    assert_eq!(ready(&fleet), ["i-a", "i-b"]);
+    fleet.expire(at(3000));
+    assert_eq!(ready(&fleet), ["i-b"]);
+}
+
+/// As above, but the grace period since the last list is over when the entry learns of the removal.
+#[test]
+fn a_removal_that_is_learned_after_its_grace_period_applies_immediately() {
+    let mut fleet = Fleet::new(Options::default());
+    let list = ["i-a", "i-b"].map(|id| upstream(id, State::Ready));
+    fleet.replace(at(200), Source::Entry, list.to_vec());
+    let listed = vec![upstream("i-b", State::Ready)];
+    let changes = fleet.replace(at(2100), Source::Store, listed);
+    assert_eq!(changes, [("i-a".into(), Change::Removed)]);
+    assert_eq!(ready(&fleet), ["i-b"]);
+}
+
+/// The outage explains why the list is old: its registrations may have expired and return.
+#[test]
+fn a_removal_that_is_learned_late_after_an_outage_is_delayed() {
+    let mut fleet = Fleet::new(Options::default());
+    let list = ["i-a", "i-b"].map(|id| upstream(id, State::Ready));
+    fleet.replace(at(200), Source::Entry, list.to_vec());
+    fleet.record_outage(at(4900));
+    fleet.replace(at(5000), Source::Store, Vec::new());
+    fleet.expire(at(6700));
+    assert_eq!(ready(&fleet), ["i-a", "i-b"]);
+}
