List the objects when the answer to a watch is too long

Cause: a watch returns all versions since its revision. Change: the client reports such answers as `Error::TooLong`, from the announced length where there is one, so that a small link does not carry 8 MiB in vain; a watch then leads to a list. The log event `store history compacted; objects were listed again` is named `objects were listed again` now, since a long answer is a second reason. A single page of a list over 8 MiB still fails; pages have about 1 MB by the protocol.

--- a/almondwell/src/stored/accept.rs
+++ b/almondwell/src/stored/accept.rs
@@ -75,7 +75,9 @@
         match put(entry, job, id, &work, &value).await {
             Ok(result) => return result.map(|()| id),
             Err(Error::Down(_)) => {}
-            Err(Error::Answer(_) | Error::Lost(_)) => verdict = Verdict::MayHaveRun,
+            Err(Error::Answer(_) | Error::Lost(_) | Error::TooLong(_)) => {
+                verdict = Verdict::MayHaveRun;
+            }
         }
         if entry.clock.now() + RETRY_DELAY > deadline {
             return Err(store_unavailable(verdict));
--- a/router/src/watch.rs
+++ b/router/src/watch.rs
@@ -123,7 +123,7 @@
     match changes {
         Changes::All(_) => {
             if let Some(revision) = previous {
-                spdlog::info!("store history compacted; objects were listed again", kv: {
+                spdlog::info!("objects were listed again", kv: {
                     kind = format!("{kind:?}"), revision
                 });
             }
--- a/wire/src/inflow.rs
+++ b/wire/src/inflow.rs
@@ -24,6 +24,11 @@
         self.0.store(bytes, Ordering::Relaxed);
     }
 
+    /// Whether it is used up, so that reads fail.
+    pub fn is_spent(&self) -> bool {
+        self.left() == 0
+    }
+
     fn left(&self) -> u64 {
         self.0.load(Ordering::Relaxed)
     }
