Replace silent connections to the store before `contact` is over

Change: core/src/watch.rs decides wait and grace: wait, grace (0.5 s) and a new call (0.5 s) leave 0.5 s of `contact`, which gives 2.5 s of wait at 4 s. After a failure or a late answer the grace is 1.5 s and the wait shorter, so that a slow store is followed instead of failed again and again. Cost: two watches of 2.5 s instead of 4 s for each entry, 0.8 calls a second instead of 0.5.

--- /dev/null
+++ b/core/src/watch.rs
@@ -0,0 +1,83 @@
+//! How long a watch of the store may wait, and when its connection counts as silent.
+//!
+//! A connection that went silent shows only by an answer that is overdue. Until then changes are missed, so the wait, the
+//! grace after it and a new call on another connection have to fit into `contact`, the time after which the limits of
+//! the platform bind again. Each wait without a change is a call that costs money, so it is no shorter than that.
+
+use std::time::Duration;
+
+/// Time for a call on a new connection: connecting, the request, and the first bytes of a large answer.
+const CALL: Duration = Duration::from_millis(500);
+/// Part of `contact` that is left for the delay after a change and for a busy machine.
+const RESERVE: Duration = Duration::from_millis(500);
+/// Grace for a healthy store, which answers within milliseconds; includes a lost packet that is sent again.
+const GRACE: Duration = Duration::from_millis(500);
+/// Grace for a store whose last answers were late or missing. With the usual one, each call to a slow store would fail.
+const LONG_GRACE: Duration = Duration::from_millis(1500);
+/// Longest wait for some time after a failure: a failing store may not report changes to watches, and two such watches
+/// fit into the time within which a change has to take effect.
+const RECOVERY_WAIT: Duration = Duration::from_secs(1);
+/// Shortest wait, for settings with a very small `contact`.
+const MIN_WAIT: Duration = Duration::from_millis(250);
+
+/// Time limits of one watch.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Time beyond `wait` after which the connection counts as silent.
+    pub grace: Duration,
+    /// Time for which the store may wait for a change.
+    pub wait: Duration,
+}
+
+/// Watches of one kind of objects, one after the other.
+#[derive(Clone, Copy, Debug)]
+pub struct Watch {
+    contact: Duration,
+    last_failure: Option<Duration>,
+    last_late_answer: Option<Duration>,
+}
+
+impl Watch {
+    /// Watches by an entry with this setting `contact`.
+    pub const fn new(contact: Duration) -> Self {
+        Self {
+            contact,
+            last_failure: None,
+            last_late_answer: None,
+        }
+    }
+
+    /// Limits of a watch that starts at `now`.
+    pub fn limits(&self, now: Duration) -> Limits {
+        let is_recent =
+            |at: Option<Duration>| at.is_some_and(|at| now.saturating_sub(at) < self.contact);
+        let has_failed = is_recent(self.last_failure);
+        let grace = if has_failed || is_recent(self.last_late_answer) {
+            LONG_GRACE
+        } else {
+            GRACE
+        };
+        let longest = self.contact.saturating_sub(RESERVE + CALL + grace);
+        let wait = if has_failed {
+            longest.min(RECOVERY_WAIT)
+        } else {
+            longest
+        };
+        Limits {
+            grace,
+            wait: wait.max(MIN_WAIT),
+        }
+    }
+
+    /// Records that a watch with `limits`, started at `start`, was answered at `now`.
+    pub fn record_answer(&mut self, now: Duration, start: Duration, limits: Limits) {
+        if now.saturating_sub(start) > limits.wait + GRACE / 2 {
+            self.last_late_answer = Some(now);
+        }
+    }
+
+    /// Records that a watch failed at `now`.
+    pub const fn record_failure(&mut self, now: Duration) {
+        self.last_failure = Some(now);
+    }
+}
--- /dev/null
+++ b/core/tests/watch.rs
@@ -0,0 +1,84 @@
+//! Time limits of watches: silence is noticed in time, no earlier than necessary, and slow stores are followed.
+
+use almondwell_core::watch::{Limits, Watch};
+use std::time::Duration;
+
+/// Time for a new call, and the reserve that has to be left of `contact`.
+const CALL: Duration = Duration::from_millis(500);
+const RESERVE: Duration = Duration::from_millis(500);
+
+fn at(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+/// What happened to earlier watches.
+#[derive(Clone, Copy)]
+enum Past {
+    Failure(u64),
+    LateAnswer(u64),
+    None,
+}
+
+fn watch(contact: u64, past: Past) -> Watch {
+    let mut watch = Watch::new(at(contact));
+    match past {
+        Past::Failure(time) => watch.record_failure(at(time)),
+        Past::LateAnswer(time) => {
+            let start = at(time);
+            let limits = watch.limits(start);
+            let end = start + limits.wait + at(450);
+            watch.record_answer(end, start, limits);
+        }
+        Past::None => {}
+    }
+    watch
+}
+
+macro_rules! cases {
+    ($($name:ident: $contact:expr, $past:expr, $now:expr => $wait:expr, $grace:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            let limits = watch($contact, $past).limits(at($now));
+            let expected = Limits { grace: at($grace), wait: at($wait) };
+            assert_eq!(limits, expected);
+            let silence = limits.wait + limits.grace;
+            assert!(silence + CALL + RESERVE <= at($contact), "{silence:?} of silence");
+        })*
+    };
+}
+
+// Guards against silence that is noticed only when `contact` is over, and against waits that are shorter than needed.
+cases! {
+    waits_long_at_the_start: 4000, Past::None, 0 => 2500, 500;
+    waits_long_with_another_contact: 6000, Past::None, 0 => 4500, 500;
+    waits_briefly_after_a_failure: 4000, Past::Failure(1000), 4900 => 1000, 1500;
+    waits_long_again_after_contact: 4000, Past::Failure(1000), 5000 => 2500, 500;
+    gives_a_slow_store_more_time: 4000, Past::LateAnswer(1000), 4000 => 1500, 1500;
+    gives_a_fast_store_less_time_again: 4000, Past::LateAnswer(1000), 8000 => 2500, 500;
+}
+
+/// Guards against a slow store whose answers all arrive after the limit.
+#[test]
+fn a_store_that_answers_slowly_is_followed() {
+    let (latency, mut now, mut watch) = (at(900), at(0), Watch::new(at(4000)));
+    let (mut failures, mut answers) = (0, 0);
+    while now < at(60_000) {
+        let (start, limits) = (now, watch.limits(now));
+        if latency > limits.grace {
+            now += limits.wait + limits.grace;
+            watch.record_failure(now);
+            failures += 1;
+        } else {
+            now += limits.wait + latency;
+            watch.record_answer(now, start, limits);
+            answers += 1;
+        }
+    }
+    assert_eq!(failures, 1, "beside {answers} answers");
+}
+
+/// Guards against settings with which a watch would not wait at all, and call again and again.
+#[test]
+fn a_very_small_contact_leaves_a_wait() {
+    assert!(Watch::new(at(1000)).limits(at(0)).wait >= at(250));
+}
--- a/router/src/watch.rs
+++ b/router/src/watch.rs
@@ -3,12 +3,13 @@
 use crate::router::Router;
 use almondwell_core::fleet::{Change, Fleet, Source};
 use almondwell_core::upstream::{Upstream, UpstreamId};
+use almondwell_core::watch::Watch;
 use almondwell_platform::store::{Changes, Event, Item, Kind, Revision};
 use almondwell_platform::{Error, decode};
 use async_std::task;
 use rand::Rng;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Longest delay after the second consecutive failure; doubled with each further one.
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(250);
@@ -21,24 +22,22 @@
 /// Consecutive failures from which the store counts as unreachable; a single one may be a watch whose
 /// connection was closed.
 const OUTAGE_FAILURES: u32 = 2;
-/// Time limit of a watch for some time after a failure: a failing store may not report changes to watches,
-/// and two such watches fit into the time within which a change has to take effect.
-const RECOVERY_WATCH_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval between checks for delayed removals that are due.
 const EXPIRY_PERIOD: Duration = Duration::from_millis(250);
 
 /// Watches one kind of objects forever and applies their changes to the router.
 pub(crate) async fn watch(router: Arc<Router>, kind: Kind) {
     let mut failures = 0;
-    let mut last_failure: Option<Instant> = None;
+    let mut watch = Watch::new(router.settings.contact);
     let mut revision: Option<Revision> = None;
     loop {
-        let start = Instant::now();
-        let timeout = watch_timeout(&router, last_failure);
+        let start = router.now();
+        let limits = watch.limits(start);
         let previous = revision;
-        match router.store.changes(kind, &mut revision, timeout).await {
+        match router.store.changes(kind, &mut revision, limits).await {
             Ok(changes) => {
                 failures = 0;
+                watch.record_answer(router.now(), start, limits);
                 let has_changed = apply(&router, kind, previous, &changes);
                 match (kind, revision) {
                     (Kind::Configuration, _) => router.set_current(true),
@@ -51,8 +50,9 @@
             }
             Err(error) => {
                 failures += 1;
-                last_failure = Some(Instant::now());
-                let is_overdue = start.elapsed() > timeout;
+                let now = router.now();
+                watch.record_failure(now);
+                let is_overdue = now.saturating_sub(start) > limits.wait;
                 if failures >= OUTAGE_FAILURES || is_overdue || matches!(error, Error::Down(_)) {
                     report_failure(&router, kind, &error);
                 }
@@ -82,18 +82,6 @@
     });
 }
 
-/// Time limit of a watch, given the time of the last failure.
-///
-/// At most the time within which the platform requires a silently broken connection to be noticed. TCP
-/// keep-alive probes mostly notice it earlier, and other entries report a newer configuration.
-fn watch_timeout(router: &Router, last_failure: Option<Instant>) -> Duration {
-    let contact = router.settings.contact;
-    match last_failure {
-        Some(last_failure) if last_failure.elapsed() < contact => RECOVERY_WATCH_TIMEOUT,
-        Some(_) | None => contact,
-    }
-}
-
 /// Applies a response of the store; returns whether it holds changes from a watch, as opposed to a full list.
 fn apply(router: &Router, kind: Kind, previous: Option<Revision>, changes: &Changes) -> bool {
     match (kind, changes) {
--- a/wire/src/inflow.rs
+++ b/wire/src/inflow.rs
@@ -29,7 +29,8 @@
         self.left() == 0
     }
 
-    fn left(&self) -> u64 {
+    /// Number of bytes that are left.
+    pub fn left(&self) -> u64 {
         self.0.load(Ordering::Relaxed)
     }
 
