Fetch from one other entry at a time, and serve few fetches

A version that could not be decoded was fetched again with each digest. Change: core/src/fetches.rs chooses whom to ask: the newest offer, at random among equals, without those that were busy or failed lately. One task fetches; a transfer ends when 64 KiB take over 1 s, not after a total time. An entry that reaches the store leaves a new version to its watch for 1 s. Two fetches are served at a time with a send buffer of 128 KiB; others see their connection closed and ask elsewhere. `Writes` became `Demand`, for both tasks that wait for work.

--- a/core/src/peers.rs
+++ b/core/src/peers.rs
@@ -122,6 +122,17 @@
             .map(move |message| (now.saturating_sub(message.received_at), &message.content))
     }
 
+    /// The last message of each entry by its address, without those that have expired by `now`.
+    pub fn contents(&self, now: Duration) -> impl Iterator<Item = (SocketAddr, &T)> {
+        let expiry = self.options.expiry;
+        let is_fresh =
+            move |message: &&Message<T>| now.saturating_sub(message.received_at) < expiry;
+        self.messages
+            .iter()
+            .filter(move |(_, message)| is_fresh(message))
+            .map(|(address, message)| (*address, &message.content))
+    }
+
     /// Addresses of the live entries, this one excluded: those that sent a message, and those that others name.
     pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
         self.known.keys().copied()
--- a/router/src/cause_objects.rs
+++ b/router/src/cause_objects.rs
@@ -7,7 +7,6 @@
 use almondwell_core::causes::Cause;
 use almondwell_platform::{Error, Expect, Written};
 use almondwell_schema::{Suspect, Suspects};
-use async_std::channel::{Receiver, Sender, bounded};
 use async_std::task;
 use rand::Rng;
 use std::collections::BTreeSet;
@@ -48,25 +47,6 @@
     }
 }
 
-/// Demand for a write of what this entry knows.
-pub(crate) struct Writes {
-    /// Holds one element while a write is due.
-    due: (Sender<()>, Receiver<()>),
-}
-
-impl Default for Writes {
-    fn default() -> Self {
-        Self { due: bounded(1) }
-    }
-}
-
-impl Writes {
-    pub(crate) fn request(&self) {
-        // If the channel is full, a write is due already.
-        let _ = self.due.0.try_send(());
-    }
-}
-
 /// Reads the objects at the start and whenever they change, forever.
 pub(crate) async fn follow(router: Arc<Router>) {
     let mut cursor = None;
@@ -99,8 +79,8 @@
 
 /// Writes the objects whenever that is requested, forever.
 pub(crate) async fn write(router: Arc<Router>) {
-    // The sender lives as long as the receiver.
-    while router.cause_writes.due.1.recv().await.is_ok() {
+    loop {
+        router.cause_writes.wait().await;
         for object in Object::ALL {
             while let Err(error) = update(&router, object).await {
                 spdlog::debug!("writing quarantined causes failed", kv: {
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -18,9 +18,17 @@
     pub(crate) reason: &'static str,
 }
 
+/// Label of the counters of fetches.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct Fetch {
+    pub(crate) outcome: &'static str,
+}
+
 /// Counters, gauges and latency histograms.
 pub(crate) struct Metrics {
     pub(crate) requests: Family<Labels, Counter>,
+    pub(crate) fetches: Family<Fetch, Counter>,
+    pub(crate) fetches_served: Family<Fetch, Counter>,
     pub(crate) first_byte: Histogram,
     pub(crate) resumed: Counter,
     pub(crate) retries: Counter,
@@ -32,6 +40,8 @@
     fn default() -> Self {
         Self {
             requests: Family::default(),
+            fetches: Family::default(),
+            fetches_served: Family::default(),
             first_byte: Histogram::new(BUCKETS),
             resumed: Counter::default(),
             retries: Counter::default(),
@@ -50,6 +60,16 @@
             "Requests by how they ended",
             self.requests.clone(),
         );
+        registry.register(
+            "configuration_fetches",
+            "Fetches of the configuration from other entries by how they ended",
+            self.fetches.clone(),
+        );
+        registry.register(
+            "configuration_fetches_served",
+            "Fetches of the configuration by other entries by how they ended",
+            self.fetches_served.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Time to the first byte of an answer",
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -1,16 +1,10 @@
 //! Gossip between entries: the work that they send to engines, the version of their configuration and requests
-//! that crash upstreams. An entry that cannot reach the store fetches its contents from another entry.
+//! that crash upstreams. An entry that learns of a newer configuration so may fetch it: see [`crate::fetches`].
 
 use crate::crash::{self, Merged};
 use crate::router::Router;
 use almondwell_core::causes::{Cause, is_known_widely};
-use almondwell_core::fleet::Source;
-use almondwell_core::upstream::{State, Upstream};
-use almondwell_platform::decode;
-use almondwell_schema::{Ask, Datagram, Digest, Frame, Held, Registration, Suspect, SuspectPart};
-use almondwell_wire::{Connection, Seal, Turn};
-use async_std::future::timeout;
-use async_std::net::{TcpListener, TcpStream};
+use almondwell_schema::{Datagram, Digest, Suspect, SuspectPart};
 use async_std::task;
 use rand::Rng;
 use std::net::SocketAddr;
@@ -19,10 +13,8 @@
 
 /// Most suspects, requests that may crash upstreams, in one digest.
 const MAX_SUSPECTS: usize = 2;
-/// Time limit for a complete exchange over a connection.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Delay after a failed receive, which a full buffer or a malformed datagram may cause, or a failed accept.
-const RETRY_DELAY: Duration = Duration::from_millis(5);
+pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(5);
 
 type Peers = almondwell_core::peers::Peers<Digest>;
 
@@ -119,27 +111,6 @@
     }
 }
 
-/// Serves other entries' requests for the contents of the store, forever.
-pub(crate) async fn serve(router: Arc<Router>, listener: TcpListener) {
-    let turn = Turn::default();
-    loop {
-        turn.wait().await;
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let router = router.clone();
-                task::spawn(async move {
-                    // An entry that gets no response asks another one.
-                    let _ = timeout(EXCHANGE_TIMEOUT, serve_one(&router, stream)).await;
-                });
-            }
-            Err(error) => {
-                spdlog::warn!("accept failed", kv: { error = error.to_string() });
-                task::sleep(RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
 fn digest(router: &Router) -> Digest {
     let now = router.now();
     Digest {
@@ -181,7 +152,7 @@
     router.services.set_peer_shares(&shares);
 }
 
-async fn handle_digest(router: &Arc<Router>, digest: Digest) {
+async fn handle_digest(router: &Router, digest: Digest) {
     let now = router.now();
     for suspect in &digest.suspects {
         crash::merge(router, Cause::Request(suspect.fingerprint), suspect);
@@ -203,101 +174,11 @@
     if is_first || version < own_version {
         send(router, &self::digest(router).into(), from).await;
     }
-    let has_newer_upstreams = !router.is_current() && revision > router.revision();
-    if version > own_version || has_newer_upstreams {
-        let router = router.clone();
-        task::spawn(async move { fetch(&router, from, own_version).await });
-    }
-}
-
-/// Fetches the contents of the store from the entry at `from`; `version` is the configuration that is already
-/// known.
-async fn fetch(router: &Router, from: SocketAddr, version: u64) {
-    let exchange = async {
-        let mut connection = Connection::open(from, seal(router)).await?;
-        connection.write(&Ask { version }.into()).await?;
-        connection.read().await
-    };
-    let held = match timeout(EXCHANGE_TIMEOUT, exchange).await {
-        Ok(Ok(Some(Frame::Held(held)))) => held,
-        Ok(Err(error)) => {
-            spdlog::info!("fetching configuration from peer failed", kv: {
-                from = from.to_string(), error = error.to_string()
-            });
-            return;
-        }
-        Ok(Ok(_)) | Err(_) => {
-            spdlog::info!("fetching configuration from peer failed", kv: { from = from.to_string() });
-            return;
-        }
-    };
-    adopt(router, held, from);
-}
-
-fn adopt(router: &Router, held: Held, from: SocketAddr) {
-    if !held.table.is_empty() {
-        match decode::parse_table(&held.table) {
-            Ok(table) => router.adopt(table, held.table, "entry"),
-            Err(fault) => spdlog::error!("invalid configuration ignored", kv: {
-                from = from.to_string(), fault = fault.as_ref()
-            }),
-        }
-    }
-    if !router.is_current() && held.revision > router.revision() {
-        router.set_revision(held.revision);
-        let upstreams = held.upstreams.into_iter().map(upstream).collect();
-        router.update_fleet(|fleet, now| fleet.replace(now, Source::Entry, upstreams));
+    if version > own_version || revision > router.revision() {
+        router.fetches.request();
     }
 }
 
-async fn serve_one(router: &Router, stream: TcpStream) -> Result<(), almondwell_wire::Error> {
-    let mut connection = Connection::from_tcp(stream, seal(router))?;
-    let Some(Frame::Ask(ask)) = connection.read().await? else {
-        return Ok(());
-    };
-    let version = router.table().map_or(0, |table| table.version);
-    let raw_table = router.raw_table().filter(|_| version > ask.version);
-    let held = Held {
-        version,
-        table: raw_table.map_or_else(Vec::new, |table| table.to_vec()),
-        revision: router.revision(),
-        upstreams: router.upstreams().into_iter().map(registration).collect(),
-    };
-    connection.write(&held.into()).await
-}
-
-fn registration(upstream: Upstream) -> Registration {
-    Registration {
-        id: upstream.id,
-        address: upstream.address,
-        service: upstream.service,
-        slots: upstream.slots,
-        started_ms: upstream.started_ms,
-        draining: upstream.state == State::Draining,
-        zone: upstream.zone,
-    }
-}
-
-fn upstream(registration: Registration) -> Upstream {
-    Upstream {
-        address: registration.address,
-        id: registration.id,
-        service: registration.service,
-        slots: registration.slots,
-        started_ms: registration.started_ms,
-        state: if registration.draining {
-            State::Draining
-        } else {
-            State::Ready
-        },
-        zone: registration.zone,
-    }
-}
-
-fn seal(router: &Router) -> Seal {
-    Seal::new(&router.settings.secret)
-}
-
-fn lock_peers(router: &Router) -> MutexGuard<'_, Peers> {
+pub(crate) fn lock_peers(router: &Router) -> MutexGuard<'_, Peers> {
     router.peers.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -1,7 +1,7 @@
 //! State of a router process, shared by all connections.
 
 use crate::backend::Backend;
-use crate::cause_objects;
+use crate::demand::Demand;
 use crate::drain::Drain;
 use crate::metrics::Metrics;
 use crate::services::Services;
@@ -35,7 +35,9 @@
     pub(crate) drain: Drain,
     /// Requests and parts of prompts that crash upstreams.
     pub(crate) causes: Mutex<Causes>,
-    pub(crate) cause_writes: cause_objects::Writes,
+    pub(crate) cause_writes: Demand,
+    /// Demand for a fetch of contents of the store that another entry announced.
+    pub(crate) fetches: Demand,
     fleet: Mutex<Fleet>,
     pub(crate) services: Services,
     /// Whether the configuration has been read since the store was last unreachable.
@@ -70,7 +72,8 @@
         Self {
             backends: Mutex::default(),
             causes: Mutex::default(),
-            cause_writes: cause_objects::Writes::default(),
+            cause_writes: Demand::default(),
+            fetches: Demand::default(),
             clock: Clock::start(),
             drain: Drain::default(),
             services: Services::new(&settings),
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -1,7 +1,7 @@
 //! Startup and shutdown of a router process.
 
 use crate::router::Router;
-use crate::{caller, cause_objects, endpoints, peers, watch};
+use crate::{caller, cause_objects, endpoints, fetches, peers, watch};
 use almondwell_daemon::{signals, wait_for_stop};
 use almondwell_platform::store::Kind;
 use almondwell_schema::RouterSettings;
@@ -44,7 +44,8 @@
     });
     task::spawn(watch::watch(router.clone(), Kind::Configuration));
     task::spawn(watch::watch(router.clone(), Kind::Upstreams));
-    task::spawn(peers::serve(router.clone(), peer_listener));
+    task::spawn(fetches::serve(router.clone(), peer_listener));
+    task::spawn(fetches::run(router.clone()));
     task::spawn(peers::receive(router.clone()));
     task::spawn(peers::gossip(router.clone()));
     task::spawn(cause_objects::follow(router.clone()));
--- a/wire/src/connection.rs
+++ b/wire/src/connection.rs
@@ -14,8 +14,8 @@
 /// Maximum length of a frame in bytes, authentication tag included, length prefix not.
 pub const MAX_FRAME_BYTES: usize = 5 << 20;
 
-/// Bytes of a frame that are read, and memory that is reserved, at a time.
-const READ_STEP_BYTES: usize = 64 << 10;
+/// Bytes of a frame that are read or written, and memory that is reserved, at a time.
+const STEP_BYTES: usize = 64 << 10;
 const LENGTH_PREFIX_BYTES: usize = size_of::<u32>();
 
 /// A TCP connection whose frames are prefixed with their length (`u32`, little endian).
@@ -57,7 +57,7 @@
     /// unusable.
     pub async fn read(&mut self) -> Result<Option<Frame>, Error> {
         match self.read_first_byte().await? {
-            Some(first) => self.read_rest(first).await.map(Some),
+            Some(first) => self.read_rest(first, None).await.map(Some),
             None => Ok(None),
         }
     }
@@ -73,7 +73,7 @@
             .await
             .map_err(|_| timed_out())??;
         match first {
-            Some(first) => timeout(limit, self.read_rest(first))
+            Some(first) => timeout(limit, self.read_rest(first, None))
                 .await
                 .map_err(|_| timed_out())?
                 .map(Some),
@@ -81,6 +81,22 @@
         }
     }
 
+    /// As `read`, but fails with [`ErrorKind::TimedOut`] if no frame starts within `idle`, or one of its steps of 64 KiB
+    /// does not arrive within `step`. A long frame may so take long, while bytes arrive.
+    pub async fn read_steadily(
+        &mut self,
+        idle: Duration,
+        step: Duration,
+    ) -> Result<Option<Frame>, Error> {
+        let first = timeout(idle, self.read_first_byte())
+            .await
+            .map_err(|_| timed_out())??;
+        match first {
+            Some(first) => self.read_rest(first, Some(step)).await.map(Some),
+            None => Ok(None),
+        }
+    }
+
     async fn read_first_byte(&mut self) -> Result<Option<u8>, Error> {
         self.turn.wait().await;
         let mut first = [0];
@@ -88,14 +104,14 @@
         Ok((read > 0).then_some(first[0]))
     }
 
-    async fn read_rest(&mut self, first: u8) -> Result<Frame, Error> {
+    async fn read_rest(&mut self, first: u8, step: Option<Duration>) -> Result<Frame, Error> {
         let mut length = [first; LENGTH_PREFIX_BYTES];
-        self.tcp.read_exact(&mut length[1..]).await?;
+        within(step, self.tcp.read_exact(&mut length[1..])).await?;
         let length = u32::from_le_bytes(length) as usize;
         if length > MAX_FRAME_BYTES {
             return Err(Error::TooLong(length));
         }
-        let sealed = self.read_sealed(length).await?;
+        let sealed = self.read_sealed(length, step).await?;
         RECEIVED.count_frame(LENGTH_PREFIX_BYTES + length);
         let message = self.seal.verify(&sealed)?;
         postcard::from_bytes(message).map_err(Error::Malformed)
@@ -103,17 +119,19 @@
 
     /// Reads a message with its tag. Memory is reserved as bytes arrive, so that a forged length alone
     /// reserves none beyond one step.
-    async fn read_sealed(&mut self, length: usize) -> Result<Vec<u8>, Error> {
+    async fn read_sealed(
+        &mut self,
+        length: usize,
+        step_limit: Option<Duration>,
+    ) -> Result<Vec<u8>, Error> {
         let mut sealed = Vec::new();
         let mut reservation = Reservation::default();
         while sealed.len() < length {
             self.turn.wait().await;
-            let step = READ_STEP_BYTES.min(length - sealed.len());
+            let step = STEP_BYTES.min(length - sealed.len());
             reservation.grow(step).map_err(io_error)?;
-            let read = (&mut self.tcp)
-                .take(step as u64)
-                .read_to_end(&mut sealed)
-                .await?;
+            let mut part = (&mut self.tcp).take(step as u64);
+            let read = within(step_limit, part.read_to_end(&mut sealed)).await?;
             if read < step {
                 return Err(io_error(ErrorKind::UnexpectedEof));
             }
@@ -123,6 +141,24 @@
 
     /// Writes one frame; fails with [`Error::TooLong`] beyond [`MAX_FRAME_BYTES`].
     pub async fn write(&mut self, frame: &Frame) -> Result<(), Error> {
+        let message = self.encode(frame)?;
+        self.tcp.write_all(&message).await?;
+        SENT.count_frame(message.len());
+        Ok(())
+    }
+
+    /// As `write`, but fails with [`ErrorKind::TimedOut`] if the system does not take one of its steps of 64 KiB within
+    /// `step`.
+    pub async fn write_steadily(&mut self, frame: &Frame, step: Duration) -> Result<(), Error> {
+        let message = self.encode(frame)?;
+        for part in message.chunks(STEP_BYTES) {
+            within(Some(step), self.tcp.write_all(part)).await?;
+        }
+        SENT.count_frame(message.len());
+        Ok(())
+    }
+
+    fn encode(&self, frame: &Frame) -> Result<Vec<u8>, Error> {
         let mut message = vec![0; LENGTH_PREFIX_BYTES];
         message = postcard::to_extend(frame, message).map_err(Error::Malformed)?;
         let mut sealed = message.split_off(LENGTH_PREFIX_BYTES);
@@ -133,9 +169,18 @@
         let length = u32::try_from(sealed.len()).map_err(|_| Error::TooLong(sealed.len()))?;
         message.copy_from_slice(&length.to_le_bytes());
         message.extend_from_slice(&sealed);
-        self.tcp.write_all(&message).await?;
-        SENT.count_frame(message.len());
-        Ok(())
+        Ok(message)
+    }
+}
+
+/// The result of `operation`, or [`ErrorKind::TimedOut`] after `limit`.
+async fn within<T>(
+    limit: Option<Duration>,
+    operation: impl Future<Output = std::io::Result<T>>,
+) -> Result<T, Error> {
+    match limit {
+        Some(limit) => Ok(timeout(limit, operation).await.map_err(|_| timed_out())??),
+        None => Ok(operation.await?),
     }
 }
 
