Count the grace period of a late removal from the last known list

Cause: an unannounced removal was delayed for 0.7 of `drain` from when this entry learned of it. An entry that started with a list of another entry learned of it from the store up to 1.5 s late, and sent requests after `drain` was over. Change: `Fleet` knows when the registrations were last known. A removal that is learned more than 0.5 s later, and not from a watch that had to wait, counts from there; after a known outage nothing changes. Lists of other entries, which hold a removed upstream for a while, no longer bring it back: they are used only while the upstreams' own watch fails (before, while that of the configuration failed), and not for upstreams that the store removed in the last 10 s.

--- a/core/src/fetches.rs
+++ b/core/src/fetches.rs
@@ -41,6 +41,15 @@
     pub revision: u64,
 }
 
+/// What an entry learns from the store itself at present.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Reach {
+    /// Whether its watch of the configuration is answered.
+    pub configuration: bool,
+    /// Whether its watch of the upstreams is answered. Another entry's list would then bring removed ones back.
+    pub upstreams: bool,
+}
+
 /// Result of a fetch.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -90,26 +99,26 @@
         }
     }
 
-    /// Decides what to do while no fetch runs. `is_current` is whether this entry reaches the store, which then needs no
-    /// list of upstreams from others; `offers` are the contents that the other entries announced. Among those that
+    /// Decides what to do while no fetch runs. `offers` are the contents that the other entries announced. Among those that
     /// announce the newest, `draw` chooses by a random number below its argument, so that not all ask the same.
     pub fn next(
         &mut self,
         now: Duration,
         own: Contents,
-        is_current: bool,
+        reach: Reach,
         offers: impl Iterator<Item = (SocketAddr, Contents)>,
         draw: impl FnOnce(usize) -> usize,
     ) -> Next {
         let newer: Vec<_> = offers
-            .map(|(from, offer)| (self.newer_part(own, is_current, offer), from, offer))
+            .map(|(from, offer)| (self.newer_part(own, reach, offer), from, offer))
             .filter(|(newer, ..)| *newer != Contents::default())
             .collect();
         if newer.is_empty() {
             self.newer_since = None;
             return Next::Idle;
         }
-        if is_current {
+        let has_newer_upstreams = newer.iter().any(|(newer, ..)| newer.revision > 0);
+        if reach.configuration && !has_newer_upstreams {
             let lead_end = self.newer_since(now, own.version) + self.options.store_lead;
             if now < lead_end {
                 return Next::At(lead_end);
@@ -140,9 +149,9 @@
     }
 
     /// The parts of `offer` that are newer than this entry's; 0 for the others.
-    fn newer_part(&self, own: Contents, is_current: bool, offer: Contents) -> Contents {
+    fn newer_part(&self, own: Contents, reach: Reach, offer: Contents) -> Contents {
         let is_newer = offer.version > own.version && offer.version != self.invalid_version;
-        let has_newer_upstreams = !is_current && offer.revision > own.revision;
+        let has_newer_upstreams = !reach.upstreams && offer.revision > own.revision;
         Contents {
             version: if is_newer { offer.version } else { 0 },
             revision: if has_newer_upstreams {
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -4,6 +4,9 @@
 //! alive, and an outage may go unnoticed while a watch is waiting. A removal without a preceding drain is
 //! therefore delayed for a grace period. An upstream keeps serving for longer than that, whether its
 //! registration expired or it is shutting down.
+//!
+//! That longer time counts from the removal itself. Where an entry may have learned of it late, the grace period
+//! therefore counts from the last moment at which the registrations were known.
 
 use crate::upstream::{State, Upstream, UpstreamId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,6 +21,12 @@
     /// Time after an outage of the store during which a removal may be an expired registration of a live
     /// upstream. The platform restores these within 2 s.
     pub outage_recovery: Duration,
+    /// Time for which another entry may list an upstream after its removal: until it learns of the removal, and then for
+    /// its own grace period.
+    pub peer_delay: Duration,
+    /// Delay up to which a removal counts as learned at once: that after a change, in which further changes are collected,
+    /// and a call to the store.
+    pub prompt_delay: Duration,
 }
 
 impl Default for Options {
@@ -25,6 +34,8 @@
         Self {
             removal_grace: Duration::from_millis(1750),
             outage_recovery: Duration::from_secs(2),
+            peer_delay: Duration::from_secs(10),
+            prompt_delay: Duration::from_millis(500),
         }
     }
 }
@@ -58,11 +69,15 @@
 /// Upstreams by identifier.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
+    /// Last moment at which the registrations were known, from the store or from another entry.
+    known_at: Option<Duration>,
     /// Upstreams whose removal is delayed, with the end of the grace period.
     held_until: BTreeMap<UpstreamId, Duration>,
     options: Options,
     /// End of the time after an outage in which a removal may be an expired registration.
     recovery_until: Duration,
+    /// Upstreams that the store has removed lately, with the time.
+    removed_at: BTreeMap<UpstreamId, Duration>,
     upstreams: BTreeMap<UpstreamId, Upstream>,
 }
 
@@ -80,9 +95,23 @@
         self.recovery_until = now + self.options.outage_recovery;
     }
 
+    /// Records that the registrations of the moment `at` are known.
+    pub fn confirm(&mut self, at: Duration) {
+        self.known_at = self.known_at.max(Some(at));
+    }
+
+    /// Records, before its changes are applied, that a watch which started at `start` was answered at `now`. One that
+    /// had to wait was answered as soon as there was a change; another one may report changes from before its start.
+    pub fn record_watch(&mut self, now: Duration, start: Duration) {
+        if now.saturating_sub(start) > self.options.prompt_delay {
+            self.confirm(now);
+        }
+    }
+
     /// Adds or updates an upstream; cancels a delayed removal.
     pub fn put(&mut self, upstream: Upstream) -> Change {
         self.held_until.remove(&upstream.id);
+        self.removed_at.remove(&upstream.id);
         let known = self.upstreams.get(&upstream.id);
         let change = match (known.map(|known| known.state), upstream.state) {
             (None | Some(State::Draining), State::Ready) => Change::Added,
@@ -100,22 +129,42 @@
             return Change::None;
         };
         if known.state == State::Draining {
-            self.delete(id);
+            self.delete_for_good(now, id);
+            return Change::Removed;
+        }
+        let until = self.grace_end(now);
+        if until <= now {
+            self.delete_for_good(now, id);
             return Change::Removed;
         }
-        // After a known outage, the removal may have happened long before this entry learned of it. The
-        // delay then only has to cover the return of an expired registration.
-        let grace = if now < self.recovery_until {
-            self.options.removal_grace.min(self.options.outage_recovery)
-        } else {
-            self.options.removal_grace
-        };
-        let until = self.recovery_until.max(now + grace);
         self.held_until.entry(id.into()).or_insert(until);
         Change::Held
     }
 
-    /// Replaces all upstreams by `list`; returns the changes other than [`Change::None`].
+    /// End of the grace period of a removal that is learned at `now`.
+    fn grace_end(&self, now: Duration) -> Duration {
+        let Options {
+            outage_recovery,
+            prompt_delay,
+            removal_grace,
+            ..
+        } = self.options;
+        // After a known outage, the removal may have happened long before this entry learned of it. The
+        // delay then only has to cover the return of an expired registration.
+        if now < self.recovery_until {
+            let grace = removal_grace.min(outage_recovery);
+            return self.recovery_until.max(now + grace);
+        }
+        match self.known_at {
+            Some(known_at) if now.saturating_sub(known_at) > prompt_delay => {
+                known_at + removal_grace
+            }
+            Some(_) | None => now + removal_grace,
+        }
+    }
+
+    /// Replaces all upstreams by `list`; returns the changes other than [`Change::None`]. `now` is the time of an answer
+    /// of the store, or that at which another entry was asked.
     pub fn replace(
         &mut self,
         now: Duration,
@@ -129,7 +178,7 @@
         for upstream in list {
             // Another entry also lists upstreams whose removal it delays, so its list doesn't show that a
             // registration has returned.
-            if source == Source::Entry && self.held_until.contains_key(&upstream.id) {
+            if source == Source::Entry && self.is_removed(now, &upstream.id) {
                 continue;
             }
             let id = upstream.id.clone();
@@ -145,6 +194,9 @@
             };
             changes.push((id, change));
         }
+        if source == Source::Entry {
+            self.confirm(now);
+        }
         changes.retain(|(_, change)| *change != Change::None);
         changes
     }
@@ -158,11 +210,26 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &due {
-            self.delete(id);
+            self.delete_for_good(now, id);
         }
         due
     }
 
+    /// Whether the store has removed the upstream, so that another entry may list it by mistake.
+    fn is_removed(&self, now: Duration, id: &str) -> bool {
+        let is_recent = |at: &Duration| now.saturating_sub(*at) < self.options.peer_delay;
+        self.held_until.contains_key(id) || self.removed_at.get(id).is_some_and(is_recent)
+    }
+
+    /// Deletes an upstream that the store has removed.
+    fn delete_for_good(&mut self, now: Duration, id: &str) {
+        let peer_delay = self.options.peer_delay;
+        self.removed_at
+            .retain(|_, at| now.saturating_sub(*at) < peer_delay);
+        self.removed_at.insert(id.into(), now);
+        self.delete(id);
+    }
+
     fn delete(&mut self, id: &str) {
         self.held_until.remove(id);
         self.upstreams.remove(id);
--- a/core/tests/fetches.rs
+++ b/core/tests/fetches.rs
@@ -1,6 +1,6 @@
 //! Choice of the entry to fetch from, and of the time.
 
-use almondwell_core::fetches::{Contents, Fetches, Next, Options, Outcome};
+use almondwell_core::fetches::{Contents, Fetches, Next, Options, Outcome, Reach};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -33,10 +33,16 @@
         .collect()
 }
 
+const fn reach(is_current: bool) -> Reach {
+    Reach {
+        configuration: is_current,
+        upstreams: is_current,
+    }
+}
+
 fn next(fetches: &mut Fetches, now: Duration, is_current: bool, offered: &[(u64, u64)]) -> Next {
-    fetches.next(now, OWN, is_current, offers(offered).into_iter(), |below| {
-        below - 1
-    })
+    let offers = offers(offered).into_iter();
+    fetches.next(now, OWN, reach(is_current), offers, |below| below - 1)
 }
 
 /// What `next` decides: the index of the entry to fetch from, or the time to decide again.
@@ -106,7 +112,7 @@
         let own = Contents { version, ..OWN };
         let now = at(version * 400);
         let newer = offers(&[(version + 2, 80)]);
-        let decided = fetches.next(now, own, true, newer.into_iter(), |_| 0);
+        let decided = fetches.next(now, own, reach(true), newer.into_iter(), |_| 0);
         assert_eq!(decided, Next::At(now + Options::default().store_lead));
     }
 }
@@ -132,7 +138,7 @@
 fn equal_offers_are_chosen_at_random() {
     let chosen = |index| {
         let offers = offers(&[(9, 80), (8, 99), (9, 80), (9, 80)]);
-        Fetches::default().next(at(0), OWN, false, offers.into_iter(), |below| {
+        Fetches::default().next(at(0), OWN, reach(false), offers.into_iter(), |below| {
             assert_eq!(below, 3);
             index
         })
@@ -159,3 +165,18 @@
     assert_eq!(fetches.known_version(OWN, offer(10)), OWN.version);
     assert_eq!(fetches.known_version(OWN, offer(0)), OWN.version);
 }
+
+/// Guards against a list of another entry, which lists removed upstreams for a while, beside the store's own.
+#[test]
+fn upstreams_are_left_to_a_watch_of_them() {
+    let decide = |configuration, upstreams| {
+        let reach = Reach {
+            configuration,
+            upstreams,
+        };
+        let offers = offers(&[(7, 71)]).into_iter();
+        Fetches::default().next(at(0), OWN, reach, offers, |_| 0)
+    };
+    assert_eq!(decide(false, true), Next::Idle);
+    assert!(matches!(decide(true, false), Next::Fetch(..)));
+}
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -189,3 +189,42 @@
     fleet.expire(at(6700));
     assert_eq!(ready(&fleet), ["i-a", "i-b"]);
 }
+
+/// When the store is watched and the removal is learned, and when its grace period of 1.75 s ends.
+macro_rules! watched {
+    ($($name:ident: $known:expr, $start:expr, $now:expr => $end:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            let mut fleet = fleet(&["i-a", "i-b"]);
+            fleet.confirm(at($known));
+            fleet.record_watch(at($now), at($start));
+            fleet.remove(at($now), "i-a");
+            fleet.confirm(at($start));
+            fleet.expire(at($end - 1));
+            assert_eq!(ready(&fleet), ["i-a", "i-b"]);
+            fleet.expire(at($end));
+            assert_eq!(ready(&fleet), ["i-b"]);
+        })*
+    };
+}
+
+// Guards against upstreams that are used for too long after a removal which is reported late, and against registrations
+// that are dropped before they can return though their removal is reported at once.
+watched! {
+    a_removal_that_a_waiting_watch_reports_is_delayed_fully: 1000, 1000, 3300 => 5050;
+    a_removal_within_the_delay_after_a_change_is_delayed_fully: 1000, 1400, 1450 => 3200;
+    a_removal_after_a_failed_watch_counts_from_the_answer_before: 1000, 2000, 2050 => 2750;
+}
+
+/// Another entry delays the removal longer than this one, and lists the upstream meanwhile. Guards against an upstream that
+/// comes back by such a list, while the store, which has reported its removal, does not report it again.
+#[test]
+fn a_list_from_another_entry_does_not_bring_a_removed_upstream_back() {
+    let mut fleet = fleet(&["i-a", "i-b"]);
+    fleet.confirm(at(100));
+    assert_eq!(fleet.remove(at(3000), "i-a"), Change::Removed);
+    let list = || ["i-a", "i-b"].map(|id| upstream(id, State::Ready)).to_vec();
+    assert!(fleet.replace(at(4000), Source::Entry, list()).is_empty());
+    let changes = fleet.replace(at(5000), Source::Store, list());
+    assert_eq!(changes, [("i-a".into(), Change::Added)]);
+}
--- a/router/src/fetches.rs
+++ b/router/src/fetches.rs
@@ -4,7 +4,7 @@
 use crate::peers::{RETRY_DELAY, lock_peers};
 use crate::router::Router;
 use crate::slots::Slots;
-use almondwell_core::fetches::{Contents, Fetches, Next, Options, Outcome};
+use almondwell_core::fetches::{Contents, Fetches, Next, Options, Outcome, Reach};
 use almondwell_core::fleet::Source;
 use almondwell_core::progress::CHECK_PERIOD;
 use almondwell_core::upstream::{State, Upstream};
@@ -68,13 +68,17 @@
 }
 
 fn next(router: &Router, fetches: &mut Fetches) -> Next {
-    let (now, own, is_current) = (router.now(), contents(router), router.is_current());
+    let (now, own) = (router.now(), contents(router));
+    let reach = Reach {
+        configuration: router.is_current(),
+        upstreams: router.is_list_current(),
+    };
     let peers = lock_peers(router);
     let offers = peers.contents(now).map(|(from, digest)| {
         let (version, revision) = (digest.version, digest.revision);
         (from, Contents { version, revision })
     });
-    fetches.next(now, own, is_current, offers, |below| {
+    fetches.next(now, own, reach, offers, |below| {
         rand::rng().random_range(0..below)
     })
 }
@@ -94,6 +98,7 @@
     offer: Contents,
 ) -> Outcome {
     let version = fetches.known_version(contents(router), offer);
+    let start = router.now();
     let held = match exchange(router, from, version).await {
         Ok(Some(Frame::Held(held))) => held,
         Ok(None) => return Outcome::Busy,
@@ -109,14 +114,14 @@
         }
     };
     let held_version = held.version;
-    if !adopt(router, held, from) {
+    if !adopt(router, held, from, start) {
         fetches.reject(held_version);
         return Outcome::Fetched;
     }
     let own = contents(router);
     // The entry may have restarted since its digest, and would be asked for the same again.
     let is_behind =
-        own.version < offer.version || !router.is_current() && own.revision < offer.revision;
+        own.version < offer.version || !router.is_list_current() && own.revision < offer.revision;
     if is_behind {
         Outcome::Failed
     } else {
@@ -137,8 +142,8 @@
     connection.read_steadily(ANSWER_TIMEOUT, STEP_TIMEOUT).await
 }
 
-/// Applies what another entry holds; returns whether its configuration could be decoded.
-fn adopt(router: &Router, held: Held, from: SocketAddr) -> bool {
+/// Applies what another entry, asked at `start`, holds; returns whether its configuration could be decoded.
+fn adopt(router: &Router, held: Held, from: SocketAddr, start: Duration) -> bool {
     let mut is_valid = true;
     if !held.table.is_empty() {
         match decode::parse_table(&held.table) {
@@ -151,10 +156,10 @@
             }
         }
     }
-    if !router.is_current() && held.revision > router.revision() {
+    if !router.is_list_current() && held.revision > router.revision() {
         router.set_revision(held.revision);
         let upstreams = held.upstreams.into_iter().map(upstream).collect();
-        router.update_fleet(|fleet, now| fleet.replace(now, Source::Entry, upstreams));
+        router.update_fleet(|fleet, _| fleet.replace(start, Source::Entry, upstreams));
     }
     is_valid
 }
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -42,6 +42,8 @@
     pub(crate) services: Services,
     /// Whether the configuration has been read since the store was last unreachable.
     is_current: AtomicBool,
+    /// Whether the list of upstreams has been read since the store was last unreachable.
+    is_list_current: AtomicBool,
     pub(crate) metrics: Metrics,
     /// Client for the objects that entries write.
     pub(crate) objects: Objects,
@@ -82,6 +84,7 @@
                 ..fleet::Options::default()
             })),
             is_current: AtomicBool::new(false),
+            is_list_current: AtomicBool::new(false),
             metrics: Metrics::default(),
             objects: Objects::new(settings.store),
             peers: Mutex::new(Peers::new(
@@ -198,8 +201,20 @@
         self.publish(&fleet);
     }
 
-    /// Records that the store could not be reached.
+    /// Whether the list of upstreams follows the store, so that those of other entries are not needed.
+    pub(crate) fn is_list_current(&self) -> bool {
+        self.is_list_current.load(Ordering::Acquire)
+    }
+
+    /// Records that the list of upstreams reflects `revision` of the store.
+    pub(crate) fn record_list(&self, revision: u64) {
+        self.set_revision(revision);
+        self.is_list_current.store(true, Ordering::Release);
+    }
+
+    /// Records that the list of upstreams could not be read from the store.
     pub(crate) fn record_outage(&self) {
+        self.is_list_current.store(false, Ordering::Release);
         let now = self.now();
         self.fleet
             .lock()
--- a/router/src/watch.rs
+++ b/router/src/watch.rs
@@ -38,10 +38,10 @@
             Ok(changes) => {
                 failures = 0;
                 watch.record_answer(router.now(), start, limits);
-                let has_changed = apply(&router, kind, previous, &changes);
+                let has_changed = apply(&router, kind, previous, start, &changes);
                 match (kind, revision) {
                     (Kind::Configuration, _) => router.set_current(true),
-                    (Kind::Upstreams, Some(at)) => router.set_revision(at),
+                    (Kind::Upstreams, Some(at)) => router.record_list(at),
                     (Kind::Upstreams, None) => {}
                 }
                 if has_changed {
@@ -82,8 +82,14 @@
     });
 }
 
-/// Applies a response of the store; returns whether it holds changes from a watch, as opposed to a full list.
-fn apply(router: &Router, kind: Kind, previous: Option<Revision>, changes: &Changes) -> bool {
+/// Applies a response of the store to a call that started at `start`; returns whether it holds changes from a watch, as opposed to a full list.
+fn apply(
+    router: &Router,
+    kind: Kind,
+    previous: Option<Revision>,
+    start: Duration,
+    changes: &Changes,
+) -> bool {
     match (kind, changes) {
         (Kind::Configuration, Changes::All(items)) => {
             for item in items {
@@ -97,14 +103,21 @@
         }
         (Kind::Upstreams, Changes::All(items)) => {
             let upstreams = items.iter().filter_map(decode_upstream).collect();
-            router.update_fleet(|fleet, now| fleet.replace(now, Source::Store, upstreams));
+            router.update_fleet(|fleet, now| {
+                let changes = fleet.replace(now, Source::Store, upstreams);
+                fleet.confirm(start);
+                changes
+            });
         }
         (Kind::Upstreams, Changes::Since(events)) => {
             router.update_fleet(|fleet, now| {
+                fleet.record_watch(now, start);
                 let changes = events
                     .iter()
-                    .map(|event| apply_registration(fleet, now, event));
-                changes.collect()
+                    .map(|event| apply_registration(fleet, now, event))
+                    .collect();
+                fleet.confirm(start);
+                changes
             });
         }
     }
