--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -1,7 +1,7 @@
 //! State of a router process, shared by all connections.
 
 use crate::backend::Backend;
-use crate::cause_objects;
+use crate::demand::Demand;
 use crate::drain::Drain;
 use crate::metrics::Metrics;
 use crate::services::Services;
@@ -35,11 +35,15 @@
     pub(crate) drain: Drain,
     /// Requests and parts of prompts that crash upstreams.
     pub(crate) causes: Mutex<Causes>,
-    pub(crate) cause_writes: cause_objects::Writes,
+    pub(crate) cause_writes: Demand,
+    /// Demand for a fetch of contents of the store that another entry announced.
+    pub(crate) fetches: Demand,
     fleet: Mutex<Fleet>,
     pub(crate) services: Services,
     /// Whether the configuration has been read since the store was last unreachable.
     is_current: AtomicBool,
+    /// Whether the list of upstreams has been read since the store was last unreachable.
+    is_list_current: AtomicBool,
     pub(crate) metrics: Metrics,
     /// Client for the objects that entries write.
     pub(crate) objects: Objects,
@@ -70,7 +74,8 @@
         Self {
             backends: Mutex::default(),
             causes: Mutex::default(),
-            cause_writes: cause_objects::Writes::default(),
+            cause_writes: Demand::default(),
+            fetches: Demand::default(),
             clock: Clock::start(),
             drain: Drain::default(),
             services: Services::new(&settings),
@@ -79,6 +84,7 @@
                 ..fleet::Options::default()
             })),
             is_current: AtomicBool::new(false),
+            is_list_current: AtomicBool::new(false),
             metrics: Metrics::default(),
             objects: Objects::new(settings.store),
             peers: Mutex::new(Peers::new(
@@ -195,8 +201,20 @@
         self.publish(&fleet);
     }
 
-    /// Records that the store could not be reached.
+    /// Whether the list of upstreams follows the store, so that those of other entries are not needed.
+    pub(crate) fn is_list_current(&self) -> bool {
+        self.is_list_current.load(Ordering::Acquire)
+    }
+
+    /// Records that the list of upstreams reflects `revision` of the store.
+    pub(crate) fn record_list(&self, revision: u64) {
+        self.set_revision(revision);
+        self.is_list_current.store(true, Ordering::Release);
+    }
+
+    /// Records that the list of upstreams could not be read from the store.
     pub(crate) fn record_outage(&self) {
+        self.is_list_current.store(false, Ordering::Release);
         let now = self.now();
         self.fleet
             .lock()
--- a/wire/src/inflow.rs
+++ b/wire/src/inflow.rs
@@ -24,7 +24,13 @@
         self.0.store(bytes, Ordering::Relaxed);
     }
 
-    fn left(&self) -> u64 {
+    /// Whether it is used up, so that reads fail.
+    pub fn is_spent(&self) -> bool {
+        self.left() == 0
+    }
+
+    /// Number of bytes that are left.
+    pub fn left(&self) -> u64 {
         self.0.load(Ordering::Relaxed)
     }
 
