Require a key when no workspace has keys left

`admit` asked for a key only if the table had keys, so that revoking the last key admitted everyone. The table now records that the configuration lists workspaces (`requires_key`); an empty list counts, a malformed one rejects the configuration.

Other places where empty might mean allowed: weights and backends (none: 503), `public` (malformed: false), unknown route types (never sent again), no table (503), an empty key (`parse_key` yields none), an empty list of open upstreams (`Limited`), an empty table or none from a peer (kept), `almondwell serve` (a workspace without a key, a service without workspaces: rejected). Two are left as they are: a signature of a response counts by its presence, as the platform says, and the router accepts an empty `secret` on a control address that is no loopback one, since its template sets none.

--- a/core/src/table.rs
+++ b/core/src/table.rs
@@ -19,6 +19,9 @@
     pub limits: Limits,
     /// Rank of the least urgent workspace.
     last_workspace_rank: Rank,
+    /// Whether requests on routes that are not public need a key. Set by each workspace, also by one without keys: a
+    /// configuration whose last key was revoked has no keys, and must not admit everyone.
+    pub requires_key: bool,
     /// Number of ranks among the routes.
     route_rank_count: Rank,
     /// Routes by host, sorted from the longest prefix to the shortest.
@@ -162,6 +165,7 @@
         workspace: Workspace,
         keys: impl IntoIterator<Item = Box<str>>,
     ) {
+        self.requires_key = true;
         let rank = workspace.priority.unwrap_or(0);
         self.last_workspace_rank = self.last_workspace_rank.max(rank);
         let workspace = Arc::new(workspace);
@@ -170,6 +174,11 @@
         }
     }
 
+    /// Whether a request on `route` from `workspace`, `None` if it has no known key, is admitted.
+    pub const fn is_admitted(&self, route: &Route, workspace: Option<&Workspace>) -> bool {
+        workspace.is_some() || route.is_public || !self.requires_key
+    }
+
     /// Workspaces by API key.
     pub const fn keys(&self) -> &BTreeMap<Box<str>, Arc<Workspace>> {
         &self.keys
--- a/core/tests/table.rs
+++ b/core/tests/table.rs
@@ -71,3 +71,28 @@
     assert_eq!(name("/reviews"), Some("reply"));
     assert_eq!(table.len(), 2);
 }
+
+/// Guards against a table that admits everyone once its last key is revoked.
+#[test]
+fn a_workspace_without_keys_requires_a_key() {
+    let mut table = Table::new(1);
+    table.add(route("reply", "/", 0));
+    table.add(Route {
+        is_public: true,
+        ..route("news", "/news/", 0)
+    });
+    let is_admitted = |table: &Table, path: &str, workspace: Option<&Workspace>| {
+        let route = table.route("a.example", path);
+        table.is_admitted(route.expect("a matching route"), workspace)
+    };
+    assert!(is_admitted(&table, "/x", None));
+    table.add_workspace(workspace("first", Some(0)), []);
+    assert!(table.keys().is_empty());
+    assert!(!is_admitted(&table, "/x", None));
+    assert!(is_admitted(&table, "/news/1", None));
+    assert!(is_admitted(
+        &table,
+        "/x",
+        Some(&workspace("first", Some(0)))
+    ));
+}
--- a/router/src/dispatch.rs
+++ b/router/src/dispatch.rs
@@ -239,7 +239,7 @@
         return Err(Refusal::invalid(400, Reason::Malformed));
     }
     let workspace = job.key.as_ref().and_then(|key| table.keys().get(key));
-    if workspace.is_none() && !route.is_public && !table.keys().is_empty() {
+    if !table.is_admitted(route, workspace.map(|workspace| &**workspace)) {
         return Err(unknown(401, Reason::UnknownKey));
     }
     let service = route
