Check the upstream before the end of a response without a length

The end of the connection was taken for the end of the response and written to the caller at once, so that half of a response of a killed upstream looked complete. Alive means that a new connection is accepted and stays open for 50 ms, since kernels may close the listener last.

--- a/router/src/backend.rs
+++ b/router/src/backend.rs
@@ -12,6 +12,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+/// Time limit for connecting to an upstream: several round trips between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Idle connections kept per upstream. A load peak needs more, but only while it lasts.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 /// Longest idle time of a connection that is reused for a request that must not run twice. The shorter it
@@ -144,6 +146,7 @@
                 return Ok((connection, true));
             }
         }
+        let limit = limit.min(CONNECT_TIMEOUT);
         let connection = Connection::open(self.upstream.address, limit).await?;
         Ok((connection, false))
     }
--- a/router/src/connection.rs
+++ b/router/src/connection.rs
@@ -11,8 +11,6 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// Time limit for connecting to an upstream: several round trips between regions.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Idle timeout of an upstream that states none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time before the upstream's idle timeout from which a connection is not reused, so that a request is not
@@ -32,6 +30,8 @@
     Io(io::Error),
     /// The response is longer than allowed, or announces that it will be.
     TooLong,
+    /// The response ended with its connection, and the upstream could not be reached afterwards.
+    Unreachable,
 }
 
 impl From<io::Error> for Error {
@@ -52,16 +52,19 @@
             Self::InvalidResponse => "answer is not this request's",
             Self::Io(_) => "connection failed",
             Self::TooLong => "answer is too long",
+            Self::Unreachable => "connection ended and upstream is unreachable",
         }
     }
 
     /// The operating system's error message, if any.
     pub(crate) fn detail(&self) -> String {
         match self {
-            Self::Closed | Self::IncompleteEvent | Self::InvalidResponse | Self::TooLong => {
-                String::new()
-            }
             Self::Io(error) => error.to_string(),
+            Self::Closed
+            | Self::IncompleteEvent
+            | Self::InvalidResponse
+            | Self::TooLong
+            | Self::Unreachable => String::new(),
         }
     }
 }
@@ -77,7 +80,6 @@
 
 impl Connection {
     pub(crate) async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
-        let limit = limit.min(CONNECT_TIMEOUT);
         let stream = timeout(limit, TcpStream::connect(address))
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
@@ -153,6 +155,16 @@
         Ok(())
     }
 
+    /// Fails if the upstream ends the new connection within `time`.
+    pub(crate) async fn stay_open(&self, time: Duration) -> io::Result<()> {
+        let mut byte = [0];
+        match timeout(time, self.buffer.stream().peek(&mut byte)).await {
+            Ok(Ok(0)) => Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok(Ok(_)) | Err(_) => Ok(()),
+            Ok(Err(error)) => Err(error),
+        }
+    }
+
     /// Prepares the connection for reuse after a complete response; `None` if it cannot be reused.
     pub(crate) fn into_idle(mut self, head: &Head) -> Option<Self> {
         if !self.is_sent || !head.is_keep_alive || !self.buffer.bytes().is_empty() {
--- a/router/src/crash.rs
+++ b/router/src/crash.rs
@@ -11,21 +11,42 @@
 use almondwell_schema::{CrashId, Fingerprint, Suspect};
 use async_std::io;
 use async_std::task::{self, JoinHandle};
+use std::net::SocketAddr;
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// Time within which a live upstream accepts a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Why it is not known whether an upstream still runs.
 #[derive(Clone, Copy, Eq, PartialEq)]
 pub(crate) enum Sign {
-    /// Its answer ended with its connection, which a crash may have closed.
+    /// Its response ended with its connection, which a crash may have closed.
     Ended,
+    /// The same, and the response is an error.
+    EndedInError,
     /// A connection failed, or nothing arrived on it.
     Failed,
 }
 
+impl Sign {
+    /// Time within which a live upstream accepts a connection.
+    const fn connect_timeout(self) -> Duration {
+        match self {
+            // A lost packet is sent again after 1 s. Without that, one lost packet would truncate an intact response.
+            Self::Ended | Self::EndedInError => Duration::from_millis(1300),
+            Self::Failed => Duration::from_millis(500),
+        }
+    }
+
+    /// Time for which a new connection has to stay open. The kernel may close the listener of a killed process after its
+    /// connections, and resets the connections that it accepted in between: after 12 ms at most in 66 kills on a busy
+    /// machine.
+    const fn settle_time(self) -> Duration {
+        match self {
+            Self::Ended | Self::EndedInError => Duration::from_millis(50),
+            Self::Failed => Duration::ZERO,
+        }
+    }
+}
+
 /// What merging another entry's knowledge of a cause has changed.
 pub(crate) struct Merged {
     /// Whether all entries have to know of the cause from now on.
@@ -35,17 +56,17 @@
 }
 
 /// Checks in the background whether an upstream crashed while it ran the request; if so, records the request and the
-/// parts of its prompt as suspects and reports them to other entries.
+/// parts of its prompt as suspects and reports them to other entries. The task returns whether the upstream is alive.
 ///
-/// An upstream that still accepts connections did not crash; a crashed one accepts none. One that does not even
-/// refuse them may be cut off, which is no evidence against the parts, and little against the request: any answer
+/// An upstream that accepts a connection and keeps it open did not crash; a crashed one does neither. One that does not
+/// even refuse connections may be cut off, which is no evidence against the parts, and little against the request: any answer
 /// clears it.
 pub(crate) fn check(
     delivery: Delivery<'_>,
     backend: &Arc<Backend>,
     events: u32,
     sign: Sign,
-) -> JoinHandle<()> {
+) -> JoinHandle<bool> {
     let (router, backend) = (delivery.router.clone(), backend.clone());
     let attempt_id: Box<str> = attempt_id(delivery.request).into();
     let request = Cause::Request(delivery.admitted.fingerprint);
@@ -53,15 +74,18 @@
     let is_sound = delivery.progress.is_sound();
     task::spawn(async move {
         let upstream = &backend.upstream;
-        let is_refused = match Connection::open(upstream.address, CONNECT_TIMEOUT).await {
+        let is_refused = match open(upstream.address, sign).await {
             Ok(connection) => {
                 backend.put_idle(connection);
                 if sign == Sign::Ended {
                     clear(&router, &all);
                 }
-                return;
+                return true;
             }
-            Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+            Err(error) => matches!(
+                error.kind(),
+                io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
+            ),
         };
         // The parts are not at fault if the upstream had answered the request for a while, or may be cut off.
         let causes = if is_refused && !is_sound {
@@ -82,9 +106,17 @@
             events, suspects, evicted
         });
         report(&router, reports).await;
+        false
     })
 }
 
+/// Opens a connection to an upstream, which a live one accepts and keeps open.
+async fn open(address: SocketAddr, sign: Sign) -> io::Result<Connection> {
+    let connection = Connection::open(address, sign.connect_timeout()).await?;
+    connection.stay_open(sign.settle_time()).await?;
+    Ok(connection)
+}
+
 /// Logs that a request is sent although upstreams crashed while they were running it.
 pub(crate) fn log_suspect(delivery: Delivery<'_>, backend: &Backend) {
     let fingerprint = delivery.admitted.fingerprint;
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -113,6 +113,8 @@
         match sent {
             SendOutcome::Completed { is_keep_alive } => return Outcome::Answered { is_keep_alive },
             SendOutcome::CallerClosed => return Outcome::CallerClosed,
+            // The upstream has been checked.
+            SendOutcome::Error(Error::Unreachable) => history.may_have_run = true,
             SendOutcome::Error(_) => {
                 history.may_have_run = true;
                 let is_suspect = crash::is_suspect(delivery.router, delivery.admitted.fingerprint);
@@ -247,7 +249,7 @@
     let sent = if is_stale {
         SendOutcome::Error(Error::InvalidResponse)
     } else {
-        handle_response(delivery, history, &head, &mut connection).await
+        handle_response(delivery, history, backend, &head, &mut connection).await
     };
     drop(inflight);
     progress.set_holder(router.now(), None);
@@ -255,9 +257,8 @@
     match &sent {
         SendOutcome::Completed { .. } => {
             backend.record_success(router.now());
-            if head.framing == Framing::Close {
-                crash::check(delivery, backend, history.events.count(), Sign::Ended);
-            } else {
+            // Otherwise the check of the upstream has recorded it.
+            if head.framing != Framing::Close {
                 crash::record_success(delivery);
             }
         }
@@ -288,6 +289,7 @@
 async fn handle_response(
     delivery: Delivery<'_>,
     history: &mut History,
+    backend: &Arc<Backend>,
     head: &Head,
     connection: &mut Connection,
 ) -> SendOutcome {
@@ -303,6 +305,9 @@
         if is_not_run {
             return SendOutcome::NotRun;
         }
+        if !relay::is_whole(delivery, backend, head, history.events.count()).await {
+            return SendOutcome::Error(Error::Unreachable);
+        }
         let head = head.clone();
         return SendOutcome::Failed(Box::new(Failure { body, head }));
     }
@@ -310,12 +315,12 @@
         return SendOutcome::Error(Error::InvalidResponse);
     }
     let relayed = if delivery.admitted.route.is_stream && head.is_event_stream {
-        relay::stream(delivery, head, connection, &mut history.events).await
+        relay::stream(delivery, backend, head, connection, &mut history.events).await
     } else if delivery.progress.has_started() {
         // The caller has the start of a stream, which only events can continue.
         return SendOutcome::Error(Error::InvalidResponse);
     } else {
-        relay::buffered(delivery, head, connection).await
+        relay::buffered(delivery, backend, head, connection).await
     };
     match relayed {
         RelayOutcome::Error(error) => SendOutcome::Error(error),
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -1,7 +1,8 @@
 //! Relays responses from upstreams to callers.
 
+use crate::backend::Backend;
 use crate::connection::{Connection, Error};
-use crate::crash;
+use crate::crash::{self, Sign};
 use crate::delivery::{Delivery, attempt_id};
 use crate::dispatch::Outcome;
 use crate::events::Events;
@@ -9,6 +10,7 @@
 use crate::refusal::{Reason, Refusal};
 use crate::response::Head;
 use async_std::io::WriteExt;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Bytes of a response that are buffered until it is complete; a longer one is relayed as it arrives.
@@ -46,10 +48,33 @@
     }
 }
 
+/// Whether the upstream is known to have sent the complete response, whose framing has ended. The system of a killed
+/// process closes its connections in the ordinary way, so an end that only the connection shows counts if the upstream
+/// still accepts a connection.
+pub(crate) async fn is_whole(
+    delivery: Delivery<'_>,
+    backend: &Arc<Backend>,
+    head: &Head,
+    events: u32,
+) -> bool {
+    if head.framing != Framing::Close {
+        return true;
+    }
+    // Otherwise the end of the request would check the upstream a second time.
+    delivery.progress.set_holder(delivery.router.now(), None);
+    let sign = if (200..300).contains(&head.status) {
+        Sign::Ended
+    } else {
+        Sign::EndedInError
+    };
+    crash::check(delivery, backend, events, sign).await
+}
+
 /// Relays a response that is buffered until it is complete, so that the request can be retried if the
 /// connection fails before that.
 pub(crate) async fn buffered(
     delivery: Delivery<'_>,
+    backend: &Arc<Backend>,
     head: &Head,
     connection: &mut Connection,
 ) -> RelayOutcome {
@@ -67,10 +92,12 @@
             break;
         }
         if body.len() > MAX_BUFFERED_BYTES {
-            let mut writer = Writer::new(delivery, head);
-            return relay_remainder(&mut writer, connection, &mut decoder, body).await;
+            return relay_remainder(delivery, backend, head, connection, decoder, body).await;
         }
     }
+    if !is_whole(delivery, backend, head, 0).await {
+        return RelayOutcome::Error(Error::Unreachable);
+    }
     record_first_byte(delivery, head);
     match write_response(delivery, head, &body).await {
         Some(is_keep_alive) => RelayOutcome::Completed { is_keep_alive },
@@ -91,13 +118,20 @@
 
 /// Relays the pending bytes, and the rest of the body as it arrives.
 async fn relay_remainder(
-    writer: &mut Writer<'_>,
+    delivery: Delivery<'_>,
+    backend: &Arc<Backend>,
+    head: &Head,
     connection: &mut Connection,
-    decoder: &mut Decoder,
+    mut decoder: Decoder,
     mut pending: Vec<u8>,
 ) -> RelayOutcome {
+    let mut writer = Writer::new(delivery, head);
+    let mut is_done = false;
     loop {
-        let is_done = decoder.is_done();
+        // The body of a response without a length ends by a read without bytes, so none wait for the check.
+        if is_done && !is_whole(delivery, backend, head, 0).await {
+            return RelayOutcome::Error(Error::Unreachable);
+        }
         if !writer.write(&pending, is_done).await {
             return RelayOutcome::CallerClosed;
         }
@@ -105,18 +139,10 @@
             return writer.completed();
         }
         pending.clear();
-        match connection.read_body(decoder, &mut pending).await {
-            Ok(true) if decoder.is_done() => {}
-            Ok(true) => {
-                return if writer.write(&pending, true).await {
-                    writer.completed()
-                } else {
-                    RelayOutcome::CallerClosed
-                };
-            }
-            Ok(false) => {}
+        is_done = match connection.read_body(&mut decoder, &mut pending).await {
+            Ok(is_done) => is_done,
             Err(error) => return RelayOutcome::Error(error),
-        }
+        };
     }
 }
 
@@ -124,6 +150,7 @@
 /// if its framing is complete, and so has one that ends with its connection before its first event.
 pub(crate) async fn stream(
     delivery: Delivery<'_>,
+    backend: &Arc<Backend>,
     head: &Head,
     connection: &mut Connection,
     events: &mut Events,
@@ -150,15 +177,19 @@
         let is_incomplete = events.incomplete_bytes() > 0 || (is_unframed && events.is_empty());
         let is_broken_off = is_done && is_incomplete;
         let is_last = is_done && !is_broken_off;
+        if is_done && is_unframed {
+            log_unframed_end(delivery, events);
+        }
+        // As in `relay_remainder`, no event waits for the check.
+        if is_last && !is_whole(delivery, backend, head, events.count()).await {
+            return RelayOutcome::Error(Error::Unreachable);
+        }
         if !complete.is_empty() || is_last {
             delivery.progress.set_events(events.count());
             if !writer.write(&complete, is_last).await {
                 return RelayOutcome::CallerClosed;
             }
         }
-        if is_done && is_unframed {
-            log_unframed_end(delivery, events);
-        }
         if is_broken_off {
             return RelayOutcome::Error(Error::IncompleteEvent);
         }
