Continue resumed streams only by events

A 204 or a page without a `Content-Type` from the next upstream counted as an event stream without events, and completed the caller's stream. A response without a body is no event stream any more, and one without a type continues only a stream that stated none either, and needs an event. An object that broke off is no longer continued by events.

--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -4,8 +4,8 @@
 use crate::connection::{Connection, Error};
 use crate::crash::{self, Sign};
 use crate::dispatch::{Admitted, Outcome, Progress, retry_after};
-use crate::events::Events;
 use crate::framing::Framing;
+use crate::history::History;
 use crate::refusal::{Reason, Refusal};
 use crate::relay::{self, RelayOutcome};
 use crate::request::{MAX_HEADERS, Request};
@@ -54,24 +54,9 @@
     pub(crate) head: Head,
 }
 
-/// Sends of a request so far and what they imply for the next one.
-#[derive(Default)]
-pub(crate) struct History {
-    failed_connects: u32,
-    events: Events,
-    failure: Option<Box<Failure>>,
-    pub(crate) sends: u32,
-    /// Identifiers of the upstreams that were tried.
-    pub(crate) tried: Vec<Box<str>>,
-    may_have_run: bool,
-}
-
 /// Sends the request, with retries, until there is a response or it is given up.
 pub(crate) async fn run(delivery: Delivery<'_>) -> Outcome {
-    let mut history = History {
-        events: Events::after(delivery.request.job.last_event.as_deref()),
-        ..History::default()
-    };
+    let mut history = History::new(delivery);
     loop {
         let (backend, view) = match select(delivery, &history) {
             Selection::Selected(backend, view) => (backend, view),
@@ -134,7 +119,7 @@
                 }
             }
         }
-        if !may_resend(delivery, &history) {
+        if !history.may_resend(delivery) {
             return give_up(delivery, history, Reason::UpstreamFailed).await;
         }
         history.events.resume();
@@ -158,19 +143,6 @@
     router.services.take_retry(router.now(), &admitted.service)
 }
 
-/// Whether the route allows the request to be sent again.
-fn may_resend(delivery: Delivery<'_>, history: &History) -> bool {
-    let route = &delivery.admitted.route;
-    if history.sends >= route.attempts {
-        return false;
-    }
-    match route.retry {
-        Retry::Idempotent => !delivery.progress.has_started(),
-        Retry::Never => !history.may_have_run,
-        Retry::Resumable => !delivery.progress.has_started() || history.events.can_resume(),
-    }
-}
-
 async fn connect(delivery: Delivery<'_>, backend: &Arc<Backend>) -> Option<(Connection, bool)> {
     let is_retryable = delivery.admitted.route.retry != Retry::Never;
     match backend.connection(is_retryable, remaining(delivery)).await {
@@ -314,11 +286,12 @@
     if !metadata.is_signed || metadata.is_encoded || metadata.attempt.is_none() {
         return SendOutcome::Error(Error::InvalidResponse);
     }
-    let relayed = if delivery.admitted.route.is_stream && head.is_event_stream {
-        relay::stream(delivery, backend, head, connection, &mut history.events).await
-    } else if delivery.progress.has_started() {
-        // The caller has the start of a stream, which only events can continue.
+    let is_stream = delivery.admitted.route.is_stream && head.is_event_stream;
+    if !history.accept(delivery, is_stream, head) {
         return SendOutcome::Error(Error::InvalidResponse);
+    }
+    let relayed = if is_stream {
+        relay::stream(delivery, backend, head, connection, &mut history.events).await
     } else {
         relay::buffered(delivery, backend, head, connection).await
     };
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod events;
 mod fields;
 pub mod framing;
+mod history;
 mod metrics;
 mod overload;
 mod peers;
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -147,7 +147,8 @@
 }
 
 /// Relays the events of a stream as they arrive. A stream that ends inside an event has been broken off, also
-/// if its framing is complete, and so has one that ends with its connection before its first event.
+/// if its framing is complete, and so has one that ends with its connection before its first event. So is a resumed
+/// stream that neither states its type nor has an event: it may be another response.
 pub(crate) async fn stream(
     delivery: Delivery<'_>,
     backend: &Arc<Backend>,
@@ -158,6 +159,8 @@
     let mut decoder = Decoder::new(head.framing);
     let mut writer = Writer::new(delivery, head);
     let mut first_event_at = None;
+    let needs_event = delivery.progress.has_started() && !head.is_typed;
+    let count_before = events.count();
     loop {
         let mut chunk = Vec::new();
         let is_done = match connection.read_body(&mut decoder, &mut chunk).await {
@@ -174,7 +177,9 @@
             }
         }
         let is_unframed = head.framing == Framing::Close;
-        let is_incomplete = events.incomplete_bytes() > 0 || (is_unframed && events.is_empty());
+        let is_incomplete = events.incomplete_bytes() > 0
+            || (is_unframed && events.is_empty())
+            || (needs_event && events.count() == count_before);
         let is_broken_off = is_done && is_incomplete;
         let is_last = is_done && !is_broken_off;
         if is_done && is_unframed {
--- a/router/src/response.rs
+++ b/router/src/response.rs
@@ -17,9 +17,11 @@
     pub(crate) framing: Framing,
     /// Idle timeout that the upstream states in `Keep-Alive`, if any.
     pub(crate) idle_timeout: Option<Duration>,
-    /// Whether the body is a stream of events; without a `Content-Type`, the route decides.
+    /// Whether the body, if there is one, is a stream of events; without a `Content-Type`, the route decides.
     pub(crate) is_event_stream: bool,
     pub(crate) is_keep_alive: bool,
+    /// Whether there is a `Content-Type`.
+    pub(crate) is_typed: bool,
     pub(crate) length: usize,
     pub(crate) metadata: Metadata,
     pub(crate) status: u16,
@@ -53,14 +55,17 @@
         let idle_timeout = keep_alive
             .first()
             .and_then(|value| keep_alive_timeout(value));
+        let content_type = fields::values(response.headers, "Content-Type");
         Ok(Some(Self {
             bytes: bytes[..length].to_vec(),
             framing,
             idle_timeout,
-            is_event_stream: fields::values(response.headers, "Content-Type")
-                .first()
-                .is_none_or(|value| is_event_stream(value)),
+            is_event_stream: !has_no_body
+                && content_type
+                    .first()
+                    .is_none_or(|value| is_event_stream(value)),
             is_keep_alive: response.version == Some(1) && !is_closing && framing != Framing::Close,
+            is_typed: !content_type.is_empty(),
             length,
             metadata: headers::metadata(response.headers),
             status,
--- a/router/src/selection.rs
+++ b/router/src/selection.rs
@@ -1,7 +1,8 @@
 //! Selection of the upstream for a send.
 
 use crate::backend::{Backend, View};
-use crate::delivery::{Delivery, History};
+use crate::delivery::Delivery;
+use crate::history::History;
 use almondwell_core::placement::{self, Candidate, Prompt};
 use rand::Rng;
 use std::sync::Arc;
--- a/router/src/send_log.rs
+++ b/router/src/send_log.rs
@@ -1,7 +1,8 @@
 //! Log lines of sends.
 
 use crate::backend::{Backend, View};
-use crate::delivery::{Delivery, History, SendOutcome, attempt_id};
+use crate::delivery::{Delivery, SendOutcome, attempt_id};
+use crate::history::History;
 use crate::router::milliseconds;
 
 /// Logs the upstream that a request is sent to and the values that the selection was based on.
