--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -17,6 +17,7 @@
 mod fetches;
 mod fields;
 pub mod framing;
+mod history;
 mod loads;
 mod metrics;
 mod overload;
