Keep requests to plain services in their zone while it is fast enough

Cause: one running request at home was enough to send the next one to another zone (0.15 of 6 slots), 1 to 24 ms away. Change: a share of requests leaves once the expected time at home exceeds half of the latency target and the time elsewhere; it grows and shrinks by bounded steps (core::zone_share). Setting zone_first, metric left_zone.

--- a/core/src/backlog.rs
+++ b/core/src/backlog.rs
@@ -5,6 +5,7 @@
 //! fleet an entry sends an engine few of its requests, so that [`Report`], the queue that the engine reported to any
 //! entry, complements it.
 
+use crate::quantile::Quantile;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -101,13 +102,13 @@
 /// Estimate of an engine's prefill rate, learned from requests with little queue wait.
 #[derive(Clone, Copy, Debug)]
 pub struct PrefillRate {
-    ms_per_token: f64,
+    ms_per_token: Quantile,
 }
 
 impl Default for PrefillRate {
     fn default() -> Self {
         Self {
-            ms_per_token: Self::INITIAL_MS_PER_TOKEN,
+            ms_per_token: Quantile::new(Self::INITIAL_MS_PER_TOKEN, Self::QUANTILE, Self::STEP),
         }
     }
 }
@@ -126,19 +127,14 @@
 
     /// Records a request with `tokens` of prefill whose first token came after `time`.
     pub fn observe(&mut self, time: Duration, tokens: u32) {
-        if tokens < Self::MIN_TOKENS {
-            return;
-        }
-        let ms_per_token = time.as_secs_f64() * 1000.0 / f64::from(tokens);
-        if ms_per_token < self.ms_per_token {
-            self.ms_per_token *= 1.0 - Self::STEP * (1.0 - Self::QUANTILE);
-        } else {
-            self.ms_per_token *= 1.0 + Self::STEP * Self::QUANTILE;
+        if tokens >= Self::MIN_TOKENS {
+            let ms_per_token = time.as_secs_f64() * 1000.0 / f64::from(tokens);
+            self.ms_per_token.observe(ms_per_token);
         }
     }
 
     /// Prefill tokens per millisecond.
     pub fn tokens_per_ms(self) -> f64 {
-        1.0 / self.ms_per_token
+        1.0 / self.ms_per_token.value()
     }
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod peers;
 pub mod placement;
 pub mod precedence;
+pub mod quantile;
 pub mod quarantine;
 mod queue;
 pub mod quota;
@@ -34,6 +35,7 @@
 pub mod stored;
 pub mod table;
 pub mod upstream;
+pub mod zone_share;
 
 pub use binding::{Binding, Step};
 pub use budget::Budget;
--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -66,6 +66,18 @@
     pub distance_wait: Duration,
 }
 
+impl Options {
+    /// Wait equivalent to a distance.
+    pub fn way(&self, distance: Distance) -> Duration {
+        let steps = match distance {
+            Distance::Zone => 0,
+            Distance::Region => 1,
+            Distance::Far => 2,
+        };
+        self.distance_wait * steps
+    }
+}
+
 impl Default for Options {
     fn default() -> Self {
         Self {
@@ -115,14 +127,9 @@
         } else {
             Duration::ZERO
         };
-        let steps = match candidate.distance {
-            Distance::Zone => 0,
-            Distance::Region => 1,
-            Distance::Far => 2,
-        };
         // Among engines without a queue, the one with the fewest streams generates tokens fastest.
         let streams = Duration::from_millis(candidate.reported.unwrap_or(0).into());
-        candidate.wait + prefill + options.distance_wait * steps + streams
+        candidate.wait + prefill + options.way(candidate.distance) + streams
     };
     candidates
         .iter()
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -233,6 +233,9 @@
     } else if head.status != 421 {
         backend.record_load(router.now(), head.metadata.load);
         backend.record_limit(router.now(), sent_at, head.metadata.limit);
+        if (200..300).contains(&head.status) {
+            record_response(delivery, backend, router.now().saturating_sub(sent_at));
+        }
         if head.metadata.phase == Phase::Leaving {
             backend.mark_leaving();
         }
@@ -275,6 +278,19 @@
     sent
 }
 
+/// Records the time of a response, which tells how far upstreams of other zones are away.
+fn record_response(delivery: Delivery<'_>, backend: &Backend, time: Duration) {
+    let Delivery {
+        admitted, router, ..
+    } = delivery;
+    if admitted.band.is_none() && router.settings.zone_first {
+        let distance = router.distance(&backend.upstream.zone);
+        router
+            .services
+            .record_response(&admitted.service, distance, time);
+    }
+}
+
 /// Whether a response is not for this request: it names another attempt, or arrived on a reused connection and names
 /// none, where it may be a late copy of an earlier response while this request runs.
 fn is_stale(request: &Request, head: &Head, is_reused: bool) -> bool {
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -29,5 +29,6 @@
 mod serve;
 mod services;
 mod watch;
+mod zones;
 
 pub use serve::serve;
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -22,6 +22,7 @@
 pub(crate) struct Metrics {
     pub(crate) requests: Family<Labels, Counter>,
     pub(crate) first_byte: Histogram,
+    pub(crate) left_zone: Counter,
     pub(crate) loads_merged: Counter,
     pub(crate) resumed: Counter,
     pub(crate) retries: Counter,
@@ -34,6 +35,7 @@
         Self {
             requests: Family::default(),
             first_byte: Histogram::new(BUCKETS),
+            left_zone: Counter::default(),
             loads_merged: Counter::default(),
             resumed: Counter::default(),
             retries: Counter::default(),
@@ -62,6 +64,11 @@
             "Time to the end of a request",
             self.duration.clone(),
         );
+        registry.register(
+            "left_zone",
+            "Requests to services without engines that left the availability zone",
+            self.left_zone.clone(),
+        );
         registry.register(
             "engine_loads_merged",
             "Load reports of engines that other entries passed on and that were newer than the known ones",
--- a/router/src/selection.rs
+++ b/router/src/selection.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::{Backend, View};
 use crate::delivery::{Delivery, History};
+use crate::zones;
 use almondwell_core::backlog::Report;
 use almondwell_core::placement::{self, Candidate, Prompt};
 use rand::Rng;
@@ -110,6 +111,9 @@
     if eligible.is_empty() && count > 0 {
         return Selection::Limited;
     }
+    if admitted.band.is_none() && router.settings.zone_first {
+        eligible = zones::restrict(delivery, eligible);
+    }
     let rate = router.services.prefill_rate(&admitted.service);
     let part = request.job.shared().last().map(|part| part.id);
     let prefill = Duration::from_secs_f64(request.job.work().prefill_tokens() / rate / 1000.0);
--- a/router/src/services.rs
+++ b/router/src/services.rs
@@ -3,9 +3,11 @@
 use crate::router::milliseconds;
 use almondwell_core::backlog::PrefillRate;
 use almondwell_core::bands::{Bands, Work};
+use almondwell_core::placement::Distance;
 use almondwell_core::precedence::Precedence;
 use almondwell_core::retries::{self, Retries};
 use almondwell_core::table::Rank;
+use almondwell_core::zone_share::{BaseTime, Times, ZoneShare};
 use almondwell_schema::{RouterSettings, Share};
 use std::collections::BTreeMap;
 use std::ops::Range;
@@ -42,8 +44,13 @@
     }
 }
 
+/// Share of requests that leave the zone from which the log says so.
+const SOME_SHARE: f64 = 0.05;
+
 /// State of all services.
 pub(crate) struct Services {
+    /// Times of responses without a wait, by distance of the upstream.
+    base_times: PerService<BTreeMap<Distance, BaseTime>>,
     /// Assignment of ranges of engines to groups of requests.
     bands: PerService<Bands>,
     /// Number of entries that share retry budgets and limits of upstreams, including this one.
@@ -54,11 +61,13 @@
     prefill_rates: PerService<PrefillRate>,
     retries: PerService<Retries>,
     retry_options: retries::Options,
+    zone_shares: PerService<ZoneShare>,
 }
 
 impl Services {
     pub(crate) fn new(settings: &RouterSettings) -> Self {
         Self {
+            base_times: PerService::default(),
             bands: PerService::default(),
             entries: AtomicUsize::new(settings.seeds.len() + 1),
             precedence: PerService::default(),
@@ -70,6 +79,7 @@
                 window: settings.retry_window,
                 ..retries::Options::default()
             },
+            zone_shares: PerService::default(),
         }
     }
 
@@ -182,6 +192,49 @@
             });
     }
 
+    /// Records that an upstream at `distance` responded after `time`.
+    pub(crate) fn record_response(&self, service: &str, distance: Distance, time: Duration) {
+        self.base_times.with(service, BTreeMap::new, |times| {
+            times
+                .entry(distance)
+                .and_modify(|base| base.observe(time))
+                .or_insert_with(|| BaseTime::new(time));
+        });
+    }
+
+    /// Time of a response without a wait from an upstream at `distance`, if known.
+    pub(crate) fn base_time(&self, service: &str, distance: Distance) -> Option<Duration> {
+        let services = self.base_times.lock();
+        services
+            .get(service)?
+            .get(&distance)
+            .map(|base| base.value())
+    }
+
+    /// Whether a request leaves the availability zone, by the random number `draw` below 1.
+    pub(crate) fn leaves_zone(
+        &self,
+        now: Duration,
+        service: &str,
+        target: Duration,
+        times: Times,
+        draw: f64,
+    ) -> bool {
+        let (before, after, leaves) = self.zone_shares.with(service, ZoneShare::default, |share| {
+            let before = share.share();
+            let leaves = share.leaves(now, target, times, draw);
+            (before, share.share(), leaves)
+        });
+        // Logs the ends of the range alone: the share changes several times a second.
+        if (before < SOME_SHARE) != (after < SOME_SHARE) {
+            spdlog::info!("share of requests that leave the zone changed", kv: {
+                service, share = after, local_ms = times.local.map_or(0, milliseconds),
+                remote_ms = times.remote.map_or(0, milliseconds)
+            });
+        }
+        leaves
+    }
+
     /// Number of entries that share budgets and limits, including this one.
     pub(crate) fn entries(&self) -> usize {
         self.entries.load(Ordering::Acquire)
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -1327,6 +1327,8 @@
     pub retry_allowance: Ratio,
     /// Window in which retries are counted.
     pub retry_window: Duration,
+    /// Whether requests to services without engines stay in their availability zone while its upstreams are fast enough.
+    pub zone_first: bool,
 }
 impl Default for RouterSettings {
     fn default() -> Self {
@@ -1351,6 +1353,7 @@
             retry_ratio: crate::parse_default("0.2"),
             retry_allowance: crate::parse_default("50"),
             retry_window: crate::parse_default("10s"),
+            zone_first: crate::parse_default("no"),
         }
     }
 }
@@ -1456,6 +1459,11 @@
             default: "10s",
             description: "Window in which retries are counted.",
         },
+        Key {
+            name: "zone_first",
+            default: "no",
+            description: "Whether requests to services without engines stay in their availability zone while its upstreams are fast enough.",
+        },
     ];
     fn set(&mut self, key: &str, value: &str) -> Result<(), Unset> {
         match key {
@@ -1539,6 +1547,10 @@
                 self.retry_window = <Duration as Setting>::read(value)
                     .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
             }
+            "zone_first" => {
+                self.zone_first = <bool as Setting>::read(value)
+                    .ok_or(Unset::Expected(<bool as Setting>::EXPECTED))?;
+            }
             _ => return Err(Unset::UnknownKey),
         }
         Ok(())
