Adjust the zone share by the longest expected time of a period

Requests come in bursts at whose start the upstreams are idle, so that a single sample missed the queue; zones::leaves_a_zone_that_is_too_small was red before (no request left in 10 s) and passes.

--- a/core/src/zone_share.rs
+++ b/core/src/zone_share.rs
@@ -48,8 +48,11 @@
 /// The share for one service.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ZoneShare {
-    /// Expected time in the zone at the last adjustment.
+    /// Longest expected time in the zone in the last complete period.
     local: Duration,
+    /// Longest expected time in the zone in the current period. Requests often come in bursts, at whose start the
+    /// upstreams are idle.
+    longest: Duration,
     options: Options,
     share: f64,
     updated_at: Duration,
@@ -76,9 +79,11 @@
             return times.local.is_none();
         };
         let needed = target.mul_f64(self.options.tolerance).max(remote);
+        self.longest = self.longest.max(local);
         if now.saturating_sub(self.updated_at) >= self.options.period {
             self.updated_at = now;
-            self.adjust(local, needed);
+            let longest = std::mem::take(&mut self.longest);
+            self.adjust(longest, needed);
         }
         local > remote && draw < self.share
     }
