--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod placement;
 pub mod precedence;
 pub mod progress;
+pub mod quantile;
 pub mod quarantine;
 mod queue;
 pub mod quota;
@@ -37,6 +38,7 @@
 pub mod table;
 pub mod upstream;
 pub mod watch;
+pub mod zone_share;
 
 pub use binding::{Binding, Step};
 pub use budget::Budget;
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -33,5 +33,6 @@
 mod services;
 mod slots;
 mod watch;
+mod zones;
 
 pub use serve::serve;
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -30,6 +30,7 @@
     pub(crate) fetches: Family<Fetch, Counter>,
     pub(crate) fetches_served: Family<Fetch, Counter>,
     pub(crate) first_byte: Histogram,
+    pub(crate) left_zone: Counter,
     pub(crate) loads_merged: Counter,
     pub(crate) resumed: Counter,
     pub(crate) retries: Counter,
@@ -44,6 +45,7 @@
             fetches: Family::default(),
             fetches_served: Family::default(),
             first_byte: Histogram::new(BUCKETS),
+            left_zone: Counter::default(),
             loads_merged: Counter::default(),
             resumed: Counter::default(),
             retries: Counter::default(),
@@ -82,6 +84,11 @@
             "Time to the end of a request",
             self.duration.clone(),
         );
+        registry.register(
+            "left_zone",
+            "Requests to services without engines that left the availability zone",
+            self.left_zone.clone(),
+        );
         registry.register(
             "engine_loads_merged",
             "Load reports of engines that other entries passed on and that were newer than the known ones",
