Bound the memory and the connections that clients make a router hold

Clients that left bodies or heads unfinished, or did not read responses, made a router take any amount of memory. What a client makes it hold is now charged, as allocated, to one budget derived from the new setting `memory`. When it is short, the unfinished request with the least progress for its bytes gives way, else the one that needs memory is refused: 503, not run, with Retry-After. Requests that are complete are never evicted. `descriptors` bounds connections in the same way, idle ones first. What the head decides is refused before the body is read. Sending a body makes no copy of it any more.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod burn;
 pub mod causes;
 mod directory;
+pub mod eviction;
 pub mod fleet;
 mod flow;
 pub mod hash;
--- a/daemon/src/check.rs
+++ b/daemon/src/check.rs
@@ -7,6 +7,10 @@
 /// Memory that a body of the maximum length takes with its copies; with a lower limit, such a body
 /// would always be refused.
 const MIN_BODY_MEMORY_BYTES: u64 = 16 << 20;
+/// Memory of which the router's share for clients holds two bodies of the usual maximum length, 4 MiB.
+const MIN_MEMORY_MB: u32 = 22;
+/// Descriptors that leave a router some for clients, beside the 300 that it keeps for other uses.
+const MIN_DESCRIPTORS: u32 = 400;
 const MIN_FAST_WINDOW: Duration = Duration::from_secs(1);
 /// Maximum ratio of `slow_window` to `fast_window`; bounds the buckets that an entry keeps.
 const MAX_WINDOW_RATIO: u32 = 288;
@@ -87,6 +91,16 @@
         validator.require("contact", !self.contact.is_zero(), "expected more than 0s");
         validator.require("drain", !self.drain.is_zero(), "expected more than 0s");
         validator.require("max_answer", self.max_answer > 0, "expected 1 or more");
+        validator.require(
+            "memory",
+            self.memory == 0 || self.memory >= MIN_MEMORY_MB,
+            &format!("expected 0, or {MIN_MEMORY_MB} or more"),
+        );
+        validator.require(
+            "descriptors",
+            self.descriptors == 0 || self.descriptors >= MIN_DESCRIPTORS,
+            &format!("expected 0, or {MIN_DESCRIPTORS} or more"),
+        );
         validator.require("grace", !self.grace.is_zero(), "expected more than 0s");
         validator.require(
             "retry_window",
--- a/router/src/buffer.rs
+++ b/router/src/buffer.rs
@@ -1,5 +1,6 @@
 //! Read buffer of a connection.
 
+use crate::segments;
 use almondwell_wire::{Allowance, Inflow};
 use async_std::io::{self, Read};
 use async_std::net::TcpStream;
@@ -9,6 +10,8 @@
 
 /// Most bytes read at once.
 const READ_SIZE: usize = 8 << 10;
+/// Least capacity of a buffer that holds bytes; most requests fit.
+const MIN_CAPACITY: usize = 4 << 10;
 
 /// A connection and the bytes received on it that have not been consumed.
 pub(crate) struct Buffer {
@@ -33,6 +36,22 @@
         &self.bytes
     }
 
+    /// Bytes of memory that the buffer holds.
+    pub(crate) const fn capacity(&self) -> usize {
+        self.bytes.capacity()
+    }
+
+    /// Capacity that the buffer may have after the next read.
+    pub(crate) fn next_capacity(&self) -> usize {
+        let length = self.bytes.len() + READ_SIZE;
+        self.capacity().max(capacity_for(length))
+    }
+
+    /// Drops all bytes and frees their memory.
+    pub(crate) fn clear(&mut self) {
+        segments::put(std::iter::once(std::mem::take(&mut self.bytes)));
+    }
+
     pub(crate) const fn stream(&self) -> &TcpStream {
         self.inflow.tcp()
     }
@@ -42,14 +61,15 @@
         self.bytes.drain(..count);
         if self.bytes.is_empty() {
             // Frees the memory, so that idle connections hold none.
-            self.bytes = Vec::new();
+            self.clear();
         }
     }
 
     /// Removes and returns the first `count` bytes.
     pub(crate) fn take(&mut self, count: usize) -> Vec<u8> {
-        let rest = self.bytes.split_off(count);
-        std::mem::replace(&mut self.bytes, rest)
+        let taken = self.bytes[..count].to_vec();
+        self.consume(count);
+        taken
     }
 
     /// Reads once; returns the number of new bytes, 0 if the peer has closed the connection.
@@ -59,9 +79,23 @@
         poll_fn(|context| {
             let mut chunk = [0; READ_SIZE];
             let count = ready!(Pin::new(&mut *inflow).poll_read(context, &mut chunk))?;
+            let length = bytes.len() + count;
+            if bytes.capacity() < length {
+                segments::grow(bytes, capacity_for(length));
+            }
             bytes.extend_from_slice(&chunk[..count]);
             Poll::Ready(Ok(count))
         })
         .await
     }
 }
+
+fn capacity_for(length: usize) -> usize {
+    length.next_power_of_two().max(MIN_CAPACITY)
+}
+
+impl Drop for Buffer {
+    fn drop(&mut self) {
+        self.clear();
+    }
+}
--- a/router/src/caller.rs
+++ b/router/src/caller.rs
@@ -1,12 +1,13 @@
 //! Callers' connections: accept loop, keep-alive and error responses.
 
 use crate::buffer::Buffer;
+use crate::client::Client;
 use crate::dispatch::{self, Outcome};
+use crate::framing::Framing;
 use crate::refusal::Refusal;
-use crate::request::{self, ReadError, Request};
+use crate::request::{self, Incoming, ReadError, Request};
 use crate::router::Router;
 use almondwell_core::table::Limits;
-use almondwell_daemon::Limiter;
 use almondwell_platform::reset_on_close;
 use almondwell_wire::Turn;
 use async_std::future::timeout;
@@ -26,28 +27,24 @@
 
 /// Accepts callers' connections, up to the configured limit, until cancelled.
 pub(crate) async fn accept(router: Arc<Router>, listener: TcpListener) {
-    let limiter = Limiter::new(router.settings.connections as usize);
     let turn = Turn::default();
     loop {
         turn.wait().await;
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, address) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(error) => {
                 spdlog::warn!("accept failed", kv: { error = error.to_string() });
                 task::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             }
         };
-        let Some(permit) = limiter.acquire() else {
-            spdlog::warn!("caller connection refused: connection limit reached", kv: {
-                limit = router.settings.connections
-            });
+        // Without a client the connection closes. The refusal is counted and logged there.
+        let Some(client) = router.clients.admit(address.ip()).await else {
             continue;
         };
         let router = router.clone();
         task::spawn(async move {
-            serve(&router, stream).await;
-            drop(permit);
+            serve(&router, stream, &Arc::new(client)).await;
         });
     }
 }
@@ -62,27 +59,35 @@
 }
 
 /// Serves one connection until it closes.
-async fn serve(router: &Arc<Router>, stream: TcpStream) {
+async fn serve(router: &Arc<Router>, stream: TcpStream, client: &Arc<Client>) {
     if let Err(error) = stream.set_nodelay(true) {
         spdlog::debug!("setting up caller connection failed", kv: { error = error.to_string() });
         return;
     }
     let mut buffer = Buffer::new(stream);
     let mut next = Next::Close;
-    while wait_for_request(router, &mut buffer).await {
-        let limits = limits(router);
+    while wait_for_request(router, &mut buffer, client).await {
         let active = router.drain.start_request();
-        next = match request::read(&mut buffer, &limits).await {
-            Ok(request) => serve_request(router, &buffer, &request).await,
+        client.start_request();
+        next = match receive(router, &mut buffer, client).await {
+            Ok(Received::Complete(request)) => {
+                serve_request(router, &buffer, client, &request).await
+            }
+            Ok(Received::Refused(refusal, incoming)) => {
+                refuse_by_head(router, &mut buffer, client, refusal, &incoming).await
+            }
             Err(ReadError::Closed) => Next::Close,
             Err(ReadError::Refused(refusal, attempt_id)) => {
+                buffer.clear();
+                client.free();
                 log_read_error(router, refusal, attempt_id.as_deref());
                 refuse(buffer.stream(), refusal, attempt_id.as_deref(), true).await;
-                linger(&mut buffer).await;
+                linger(router, &mut buffer).await;
                 Next::Close
             }
         };
         drop(active);
+        client.finish_request(buffer.capacity());
         if next != Next::KeepAlive {
             break;
         }
@@ -94,9 +99,65 @@
     };
 }
 
+/// A request whose body has been read, or that is refused before.
+enum Received {
+    Complete(Request),
+    Refused(Refusal, Incoming),
+}
+
+/// Reads a request, unless its head suffices to refuse it.
+async fn receive(
+    router: &Router,
+    buffer: &mut Buffer,
+    client: &Arc<Client>,
+) -> Result<Received, ReadError> {
+    let limits = limits(router);
+    let incoming = request::read_head(buffer, &limits, client).await?;
+    if let Err(refusal) = dispatch::check(router, &incoming.request) {
+        return Ok(Received::Refused(refusal, incoming));
+    }
+    let request = request::read_body(buffer, &limits, client, incoming).await?;
+    Ok(Received::Complete(request))
+}
+
+/// Refuses a request by its head. The connection stays open if its body is short enough to be discarded.
+async fn refuse_by_head(
+    router: &Router,
+    buffer: &mut Buffer,
+    client: &Client,
+    refusal: Refusal,
+    incoming: &Incoming,
+) -> Next {
+    let request = &incoming.request;
+    let is_short = match incoming.framing {
+        Framing::Length(0) => true,
+        // The caller may or may not send the body that it was to wait with.
+        Framing::Length(length) => {
+            length <= request::MAX_DISCARDED_BYTES && !incoming.expects_continue
+        }
+        Framing::Chunked | Framing::Close => false,
+    };
+    let is_closing = !is_short || !request.is_keep_alive || router.drain.is_draining();
+    let attempt_id = request.job.attempt.as_deref();
+    if !refuse(buffer.stream(), refusal, attempt_id, is_closing).await {
+        return Next::Close;
+    }
+    if is_closing {
+        if incoming.framing != Framing::Length(0) {
+            linger(router, buffer).await;
+        }
+        return Next::Close;
+    }
+    if request::discard_body(buffer, incoming.framing, client).await {
+        Next::KeepAlive
+    } else {
+        Next::Close
+    }
+}
+
 /// Waits for the first byte of a request. Returns `false` when the connection is closed, idle for too long, or
-/// to be closed by a drain.
-async fn wait_for_request(router: &Router, buffer: &mut Buffer) -> bool {
+/// to be closed by a drain or for another connection.
+async fn wait_for_request(router: &Router, buffer: &mut Buffer, client: &Client) -> bool {
     let mut waited = Duration::ZERO;
     while buffer.bytes().is_empty() {
         let limit = limits(router).idle_timeout;
@@ -106,7 +167,7 @@
         };
         let read = async { Some(matches!(buffer.fill().await, Ok(1..))) };
         let closing = async {
-            router.drain.idle_closed().await;
+            or(router.drain.idle_closed(), client.evicted()).await;
             Some(false)
         };
         match timeout(left, or(read, closing)).await {
@@ -125,9 +186,14 @@
 }
 
 /// Serves one request.
-async fn serve_request(router: &Arc<Router>, buffer: &Buffer, request: &Request) -> Next {
+async fn serve_request(
+    router: &Arc<Router>,
+    buffer: &Buffer,
+    client: &Client,
+    request: &Request,
+) -> Next {
     let caller = buffer.stream();
-    match dispatch::run(router, request, caller).await {
+    match dispatch::run(router, request, caller, client).await {
         Outcome::Answered {
             is_keep_alive: true,
         } => Next::KeepAlive,
@@ -166,11 +232,13 @@
 
 /// Shuts down the write half and keeps reading for [`LINGER_TIMEOUT`]. Closing a socket with unread bytes
 /// resets the connection, and the caller might lose the response.
-async fn linger(buffer: &mut Buffer) {
+async fn linger(router: &Router, buffer: &mut Buffer) {
     // An error means that the connection is already closed.
     let _ = buffer.stream().shutdown(Shutdown::Write);
     // On a timeout the connection is closed all the same.
-    let _ = timeout(LINGER_TIMEOUT, request::discard_input(buffer)).await;
+    let limits = limits(router);
+    let limit = limits.head + limits.body;
+    let _ = timeout(LINGER_TIMEOUT, request::discard_input(buffer, limit)).await;
 }
 
 fn log_read_error(router: &Router, refusal: Refusal, attempt_id: Option<&str>) {
--- a/router/src/connection.rs
+++ b/router/src/connection.rs
@@ -2,6 +2,7 @@
 
 use crate::buffer::Buffer;
 use crate::framing::{Decoder, Framing};
+use crate::request::Request;
 use crate::response::{Head, MAX_HEAD_BYTES};
 use almondwell_platform::set_up_socket;
 use async_std::future::timeout;
@@ -90,17 +91,17 @@
         })
     }
 
-    /// Sends `request` and reads the head of the response.
+    /// Sends `request` with the encoded `head` and reads the head of the response.
     ///
     /// An upstream may respond before it has read a long body; the connection is then not reused. A response
     /// whose body is longer than `max_body` bytes fails, here or in [`Self::read_body`].
     pub(crate) async fn exchange(
         &mut self,
-        request: &[u8],
-        method: &str,
+        head: Vec<u8>,
+        request: &Request,
         max_body: u64,
     ) -> Result<Head, Error> {
-        let head = self.request_head(request, method).await?;
+        let head = self.request_head(head, request).await?;
         if matches!(head.framing, Framing::Length(length) if length > max_body) {
             return Err(Error::TooLong);
         }
@@ -108,15 +109,23 @@
         Ok(head)
     }
 
-    async fn request_head(&mut self, request: &[u8], method: &str) -> Result<Head, Error> {
+    async fn request_head(&mut self, mut head: Vec<u8>, request: &Request) -> Result<Head, Error> {
         self.is_sent = false;
         // Bounds all interim responses and the final head together.
         self.buffer.allow(MAX_HEAD_BYTES as u64);
         let mut writer = self.buffer.stream().clone();
-        let write = async {
-            writer.write_all(request).await?;
+        // The first piece of the body shares a packet with the head. Nothing is copied that stays until the answer.
+        let write = async move {
+            let mut pieces = request.body.pieces();
+            head.extend_from_slice(pieces.next().unwrap_or_default());
+            writer.write_all(&head).await?;
+            drop(head);
+            for piece in pieces {
+                writer.write_all(piece).await?;
+            }
             Ok(None)
         };
+        let method = &request.method;
         let read = async { read_head(&mut self.buffer, method).await.map(Some) };
         if let Some(head) = or(write, read).await? {
             return Ok(head);
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -1,6 +1,7 @@
 //! Delivery of one request: sends it to an upstream, and again to others while a retry is allowed.
 
 use crate::backend::{Backend, Queued};
+use crate::client::Client;
 use crate::connection::{Connection, Error};
 use crate::crash::{self, Sign};
 use crate::dispatch::{Admitted, Outcome, Progress, retry_after};
@@ -29,6 +30,7 @@
 pub(crate) struct Delivery<'a> {
     pub(crate) admitted: &'a Admitted,
     pub(crate) caller: &'a TcpStream,
+    pub(crate) client: &'a Client,
     pub(crate) progress: &'a Progress,
     pub(crate) request: &'a Request,
     pub(crate) router: &'a Arc<Router>,
@@ -208,13 +210,13 @@
         ..
     } = delivery;
     let inflight = backend.start_request();
-    let bytes = encode_request(delivery, history, backend);
+    let head = encode_head(delivery, history, backend);
     progress.set_verdict(Verdict::MayHaveRun);
     progress.reset_sound();
     let sent_at = router.now();
     progress.set_holder(sent_at, Some(backend));
     let head = match connection
-        .exchange(&bytes, &request.method, router.settings.max_answer)
+        .exchange(head, request, router.settings.max_answer)
         .await
     {
         Ok(head) => head,
@@ -225,7 +227,6 @@
         }
     };
     backend.record_bytes(router.now());
-    drop(bytes);
     let is_stale = is_stale(request, &head, is_reused);
     // 421: the request was meant for another upstream than the one that now has this address.
     if head.status == 421 && !is_stale {
@@ -294,7 +295,7 @@
     let metadata = &head.metadata;
     let is_not_run = metadata.is_not_run || head.status == 421;
     if is_not_run || !(200..300).contains(&head.status) {
-        let body = match relay::read_body(connection, head).await {
+        let body = match relay::read_body(delivery, connection, head).await {
             Ok(body) => body,
             // The head already states that the request was not run, so the body is not needed.
             Err(_) if is_not_run => return SendOutcome::NotRun,
@@ -324,12 +325,12 @@
     }
 }
 
-/// Encodes the request for an upstream.
-fn encode_request(delivery: Delivery<'_>, history: &History, backend: &Backend) -> Vec<u8> {
+/// Encodes the head of the request for an upstream.
+fn encode_head(delivery: Delivery<'_>, history: &History, backend: &Backend) -> Vec<u8> {
     let Delivery {
         admitted, request, ..
     } = delivery;
-    let mut bytes = Vec::with_capacity(request.head.len() + request.body.len() + 256);
+    let mut bytes = Vec::with_capacity(request.head.len() + 256);
     // Writing to a `Vec` cannot fail.
     let _ = write!(bytes, "{} {} HTTP/1.1\r\n", request.method, request.target);
     let mut storage = [httparse::EMPTY_HEADER; MAX_HEADERS];
@@ -356,7 +357,6 @@
         let _ = write!(bytes, "Content-Length: {}\r\n", request.body.len());
     }
     bytes.extend_from_slice(b"\r\n");
-    bytes.extend_from_slice(&request.body);
     bytes
 }
 
--- a/router/src/dispatch.rs
+++ b/router/src/dispatch.rs
@@ -1,13 +1,14 @@
 //! Admits a request, runs its delivery against the deadline, and logs the outcome.
 
 use crate::backend::{Backend, Queued};
+use crate::client::Client;
 use crate::crash::{self, Sign};
 use crate::delivery::{self, Delivery};
 use crate::refusal::{Reason, Refusal};
 use crate::request::Request;
 use crate::router::{Router, milliseconds};
 use almondwell_core::hash;
-use almondwell_core::table::{Rank, Route, Workspace};
+use almondwell_core::table::{Rank, Route, Table, Workspace};
 use almondwell_daemon::disconnected;
 use almondwell_schema::{Fingerprint, Verdict};
 use async_std::net::TcpStream;
@@ -146,7 +147,12 @@
 }
 
 /// Serves one request until its response is complete, its deadline passes or the caller disconnects.
-pub(crate) async fn run(router: &Arc<Router>, request: &Request, caller: &TcpStream) -> Outcome {
+pub(crate) async fn run(
+    router: &Arc<Router>,
+    request: &Request,
+    caller: &TcpStream,
+    client: &Client,
+) -> Outcome {
     let admitted = match admit(router, request) {
         Ok(admitted) => admitted,
         Err(refusal) => {
@@ -162,6 +168,7 @@
     let delivery = Delivery {
         admitted: &admitted,
         caller,
+        client,
         progress: &progress,
         request,
         router,
@@ -219,10 +226,35 @@
     rand::rng().random_range(RETRY_AFTER.0..RETRY_AFTER.1)
 }
 
-fn admit(router: &Router, request: &Request) -> Result<Admitted, Refusal> {
-    let Some(table) = router.table() else {
-        return Err(Refusal::retryable(Reason::NoConfiguration, retry_after()));
-    };
+/// Checks what the head of a request decides, before its body is read.
+///
+/// # Errors
+///
+/// Fails when the request is refused.
+pub(crate) fn check(router: &Router, request: &Request) -> Result<(), Refusal> {
+    let checked = active_table(router).and_then(|table| {
+        authorize(router, &table, request)?;
+        Ok(())
+    });
+    if let Err(refusal) = checked {
+        let outcome = Outcome::Refused(refusal);
+        log(router, request, None, &Progress::default(), outcome);
+    }
+    checked
+}
+
+fn active_table(router: &Router) -> Result<Arc<Table>, Refusal> {
+    router
+        .table()
+        .ok_or_else(|| Refusal::retryable(Reason::NoConfiguration, retry_after()))
+}
+
+/// The route and the workspace of a request.
+fn authorize<'a>(
+    router: &Router,
+    table: &'a Table,
+    request: &Request,
+) -> Result<(&'a Arc<Route>, Option<&'a Arc<Workspace>>), Refusal> {
     // While the configuration may be stale, a newer one may have the route or key.
     let unknown = |status, reason| {
         if router.is_current() {
@@ -242,6 +274,13 @@
     if workspace.is_none() && !route.is_public && !table.keys().is_empty() {
         return Err(unknown(401, Reason::UnknownKey));
     }
+    Ok((route, workspace))
+}
+
+fn admit(router: &Router, request: &Request) -> Result<Admitted, Refusal> {
+    let table = active_table(router)?;
+    let (route, workspace) = authorize(router, &table, request)?;
+    let job = &request.job;
     let service = route
         .service(rand::rng().random())
         .ok_or_else(|| Refusal::retryable(Reason::NoUpstream, retry_after()))?;
@@ -270,7 +309,7 @@
 fn fingerprint(request: &Request) -> Fingerprint {
     let key = request.job.key.as_deref().unwrap_or_default();
     let parts = [&request.host, &request.target, key].map(str::as_bytes);
-    hash::number(&[parts[0], parts[1], parts[2], &request.body])
+    hash::number_with_pieces(&parts, request.body.pieces())
 }
 
 fn log(
--- a/router/src/endpoints.rs
+++ b/router/src/endpoints.rs
@@ -19,10 +19,15 @@
     let registry = Arc::new(router.metrics.registry());
     let mut server = Server::with_state(router);
     server.at("/health").get(readiness);
-    server.at("/metrics").get(move |_| {
-        let registry = registry.clone();
-        async move { metrics(&registry) }
-    });
+    server
+        .at("/metrics")
+        .get(move |request: Request<Arc<Router>>| {
+            let registry = registry.clone();
+            let router = request.state();
+            let held = i64::try_from(router.clients.held()).unwrap_or(i64::MAX);
+            router.metrics.held_bytes.set(held);
+            async move { metrics(&registry) }
+        });
     run(server, listener, "admin").await;
 }
 
--- a/router/src/events.rs
+++ b/router/src/events.rs
@@ -26,6 +26,11 @@
         }
     }
 
+    /// Bytes of memory that are held.
+    pub const fn capacity(&self) -> usize {
+        self.partial.capacity()
+    }
+
     /// Number of complete events relayed so far.
     pub const fn count(&self) -> u32 {
         self.count
@@ -61,6 +66,10 @@
             (start, searched) = (end, end);
         }
         pending.drain(..start);
+        if pending.is_empty() {
+            // Frees the memory, so that streams between two events hold none.
+            pending = Vec::new();
+        }
         self.partial = pending;
         if self.partial.len() > MAX_EVENT_BYTES {
             self.relay_part(&mut complete);
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -3,9 +3,12 @@
 //! An entry is one router process. An engine is an upstream that runs a language model.
 
 mod backend;
+mod body;
 mod buffer;
 mod caller;
 mod cause_objects;
+mod client;
+mod clients;
 mod connection;
 mod crash;
 mod delivery;
@@ -23,6 +26,7 @@
 mod request;
 mod response;
 mod router;
+mod segments;
 mod selection;
 mod send_log;
 mod serve;
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -19,7 +19,17 @@
 }
 
 /// Counters, gauges and latency histograms.
+#[derive(Clone)]
 pub(crate) struct Metrics {
+    /// Connections closed for new ones.
+    pub(crate) connections_evicted: Counter,
+    pub(crate) connections_refused: Counter,
+    /// Bytes that clients make the process hold.
+    pub(crate) held_bytes: Gauge,
+    /// Requests refused for lack of memory.
+    pub(crate) no_room: Counter,
+    /// Unfinished requests that gave way to others.
+    pub(crate) requests_evicted: Counter,
     pub(crate) requests: Family<Labels, Counter>,
     pub(crate) first_byte: Histogram,
     pub(crate) resumed: Counter,
@@ -31,6 +41,11 @@
 impl Default for Metrics {
     fn default() -> Self {
         Self {
+            connections_evicted: Counter::default(),
+            connections_refused: Counter::default(),
+            held_bytes: Gauge::default(),
+            no_room: Counter::default(),
+            requests_evicted: Counter::default(),
             requests: Family::default(),
             first_byte: Histogram::new(BUCKETS),
             resumed: Counter::default(),
@@ -71,9 +86,38 @@
             "Version of the configuration in force",
             self.table_version.clone(),
         );
+        self.register_limits(&mut registry);
         registry
     }
 
+    fn register_limits(&self, registry: &mut Registry) {
+        registry.register(
+            "connections_evicted",
+            "Connections without progress that were closed for new ones",
+            self.connections_evicted.clone(),
+        );
+        registry.register(
+            "connections_refused",
+            "Connections refused since none gave way",
+            self.connections_refused.clone(),
+        );
+        registry.register(
+            "held_bytes",
+            "Bytes that clients make the process hold",
+            self.held_bytes.clone(),
+        );
+        registry.register(
+            "requests_evicted",
+            "Unfinished requests without progress that were refused for others",
+            self.requests_evicted.clone(),
+        );
+        registry.register(
+            "requests_without_room",
+            "Requests refused for lack of memory",
+            self.no_room.clone(),
+        );
+    }
+
     pub(crate) fn record_request(
         &self,
         outcome: &'static str,
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -14,6 +14,12 @@
 /// Bytes of a response that are buffered until it is complete; a longer one is relayed as it arrives.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
 
+/// Bytes of a response that are copied to be written together with their framing. Most events and responses are shorter.
+const MAX_COPIED_BYTES: usize = 16 << 10;
+
+/// Capacity by which a buffered response grows.
+const GROWTH_BYTES: usize = 8 << 10;
+
 /// Time from its first event after which a stream is sound: an upstream that a request crashes does so when it begins
 /// the answer.
 const SOUND_AFTER: Duration = Duration::from_secs(1);
@@ -30,13 +36,19 @@
 /// # Errors
 ///
 /// Fails when the connection fails, or the body is malformed or too long.
-pub(crate) async fn read_body(connection: &mut Connection, head: &Head) -> Result<Vec<u8>, Error> {
+pub(crate) async fn read_body(
+    delivery: Delivery<'_>,
+    connection: &mut Connection,
+    head: &Head,
+) -> Result<Vec<u8>, Error> {
     let mut decoder = Decoder::new(head.framing);
     let mut body = Vec::new();
     loop {
         let mut chunk = Vec::new();
         let is_done = connection.read_body(&mut decoder, &mut chunk).await?;
-        body.append(&mut chunk);
+        let before = body.capacity();
+        append(&mut body, &chunk);
+        delivery.client.hold_anyway(body.capacity() - before);
         if is_done {
             return Ok(body);
         }
@@ -55,6 +67,7 @@
 ) -> RelayOutcome {
     let mut decoder = Decoder::new(head.framing);
     let mut body = Vec::new();
+    let mut buffered = 0;
     loop {
         let mut chunk = Vec::new();
         let is_done = match connection.read_body(&mut decoder, &mut chunk).await {
@@ -62,13 +75,19 @@
             Err(error) => return RelayOutcome::Error(error),
         };
         delivery.progress.record_bytes(delivery.router.now());
-        body.append(&mut chunk);
+        append(&mut body, &chunk);
         if is_done {
             break;
         }
-        if body.len() > MAX_BUFFERED_BYTES {
+        // Without memory for more, the response is relayed earlier: a request that has run is not given up.
+        let growth = body.capacity() - buffered;
+        let has_room = delivery.client.try_hold(growth);
+        if has_room {
+            buffered += growth;
+        }
+        if body.len() > MAX_BUFFERED_BYTES || !has_room {
             let mut writer = Writer::new(delivery, head);
-            return relay_remainder(&mut writer, connection, &mut decoder, body).await;
+            return relay_remainder(&mut writer, connection, &mut decoder, body, buffered).await;
         }
     }
     record_first_byte(delivery, head);
@@ -83,18 +102,31 @@
 async fn write_response(delivery: Delivery<'_>, head: &Head, body: &[u8]) -> Option<bool> {
     let is_closing = is_closing(delivery);
     let mut response = head.write(Framing::Length(body.len() as u64), is_closing);
-    response.extend_from_slice(body);
     let mut caller = delivery.caller;
+    let (first, rest) = body.split_at(body.len().min(MAX_COPIED_BYTES));
+    response.extend_from_slice(first);
     caller.write_all(&response).await.ok()?;
+    drop(response);
+    caller.write_all(rest).await.ok()?;
     Some(!is_closing)
 }
 
-/// Relays the pending bytes, and the rest of the body as it arrives.
+/// Appends `chunk` to a response, whose capacity stays close to its length.
+fn append(body: &mut Vec<u8>, chunk: &[u8]) {
+    if body.capacity() - body.len() < chunk.len() {
+        body.reserve_exact(chunk.len().next_multiple_of(GROWTH_BYTES));
+    }
+    body.extend_from_slice(chunk);
+}
+
+/// Relays the pending bytes, and the rest of the body as it arrives. The client holds `buffered` bytes of memory for the
+/// pending ones.
 async fn relay_remainder(
     writer: &mut Writer<'_>,
     connection: &mut Connection,
     decoder: &mut Decoder,
     mut pending: Vec<u8>,
+    mut buffered: usize,
 ) -> RelayOutcome {
     loop {
         let is_done = decoder.is_done();
@@ -104,7 +136,12 @@
         if is_done {
             return writer.completed();
         }
-        pending.clear();
+        // A client that reads slowly must not hold the memory of the largest piece.
+        pending = Vec::new();
+        writer
+            .delivery
+            .client
+            .release(std::mem::take(&mut buffered));
         match connection.read_body(decoder, &mut pending).await {
             Ok(true) if decoder.is_done() => {}
             Ok(true) => {
@@ -138,7 +175,10 @@
             Err(error) => return RelayOutcome::Error(error),
         };
         delivery.progress.record_bytes(delivery.router.now());
+        let before = events.capacity();
         let complete = events.push(&chunk);
+        drop(chunk);
+        delivery.client.resize(before, events.capacity());
         if !complete.is_empty() {
             record_first_token(delivery);
             let now = delivery.router.now();
@@ -241,20 +281,28 @@
 
     /// Writes a part of the body, and the head before the first one; returns whether writing succeeded.
     async fn write(&mut self, chunk: &[u8], is_last: bool) -> bool {
-        let mut out = Vec::with_capacity(chunk.len() + 16);
+        let mut out = Vec::new();
         if !self.delivery.progress.has_started() {
             record_first_byte(self.delivery, self.head);
             out = self.head.write(self.framing, self.is_closing);
         }
-        if self.framing == Framing::Chunked {
-            write_chunk(&mut out, chunk);
-            if is_last {
-                out.extend_from_slice(LAST_CHUNK);
+        let mut caller = self.delivery.caller;
+        for piece in chunk.chunks(MAX_COPIED_BYTES) {
+            if self.framing == Framing::Chunked {
+                write_chunk(&mut out, piece);
+            } else {
+                out.extend_from_slice(piece);
+            }
+            if out.len() >= MAX_COPIED_BYTES {
+                if caller.write_all(&out).await.is_err() {
+                    return false;
+                }
+                out.clear();
             }
-        } else {
-            out.extend_from_slice(chunk);
         }
-        let mut caller = self.delivery.caller;
+        if is_last && self.framing == Framing::Chunked {
+            out.extend_from_slice(LAST_CHUNK);
+        }
         caller.write_all(&out).await.is_ok()
     }
 
--- a/router/src/request.rs
+++ b/router/src/request.rs
@@ -1,6 +1,10 @@
 //! Reads and validates callers' requests. A request is read completely before it is sent to an upstream.
 
+use crate::body::Body;
 use crate::buffer::Buffer;
+use crate::client::Client;
+use crate::clients::{Eviction, NoRoom};
+use crate::dispatch::retry_after;
 use crate::fields;
 use crate::framing::{Decoder, Framing};
 use crate::refusal::{Reason, Refusal};
@@ -9,22 +13,23 @@
 use almondwell_platform::headers;
 use async_std::future::timeout;
 use async_std::io::WriteExt;
+use futures_lite::future::or;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Most header fields of a request or response.
 pub(crate) const MAX_HEADERS: usize = 100;
 /// Time limit for reading a body after its head; slower callers would only occupy memory.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Bytes of a body that are read and discarded after a refusal, so that the caller can read the response before
-/// the connection is reset.
-const MAX_DISCARDED_BYTES: usize = 256 << 10;
+/// Longest body that is read and discarded after a refusal by the head, so that the connection can be used again.
+pub(crate) const MAX_DISCARDED_BYTES: u64 = 256 << 10;
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// A caller's request, read completely.
 pub(crate) struct Request {
     /// When its first byte had arrived.
     pub(crate) received_at: Instant,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: Body,
     has_body: bool,
     /// The head as received, including the empty line.
     pub(crate) head: Vec<u8>,
@@ -61,87 +66,204 @@
 
 /// Why reading a request failed.
 pub(crate) enum ReadError {
-    /// The caller closed the connection or it failed; there is nobody to respond to.
+    /// The caller closed the connection or it failed, or the connection closes for another one; there is nobody to
+    /// respond to.
     Closed,
     /// The router refuses the request and closes the connection. Holds the caller's attempt identifier, if it
     /// was read.
     Refused(Refusal, Option<Box<str>>),
 }
 
+/// A request whose body has not been read.
+pub(crate) struct Incoming {
+    pub(crate) expects_continue: bool,
+    pub(crate) framing: Framing,
+    pub(crate) request: Request,
+}
+
 struct Head {
-    expects_continue: bool,
-    framing: Framing,
+    incoming: Incoming,
     length: usize,
-    request: Request,
 }
 
-/// Reads the next request, of which the buffer already holds the first byte.
-pub(crate) async fn read(buffer: &mut Buffer, limits: &Limits) -> Result<Request, ReadError> {
+/// Reads the head of the next request, of which the buffer already holds the first byte.
+pub(crate) async fn read_head(
+    buffer: &mut Buffer,
+    limits: &Limits,
+    client: &Arc<Client>,
+) -> Result<Incoming, ReadError> {
     let received_at = Instant::now();
-    let head = match timeout(limits.head_timeout, read_head(buffer, limits, received_at)).await {
+    client.record_progress(buffer.bytes().len());
+    if client.hold_buffer(buffer.capacity()).await.is_err() {
+        let head = parse(buffer.bytes(), limits, received_at, client)
+            .ok()
+            .flatten();
+        let attempt_id = head.and_then(|head| head.incoming.request.job.attempt);
+        return Err(no_room(client, attempt_id));
+    }
+    let reading = wait_for_head(buffer, limits, received_at, client);
+    let head = match timeout(limits.head_timeout, reading).await {
         Ok(head) => head?,
         Err(_) => return Err(refused(408, Reason::HeadTimeout)),
     };
     let Head {
+        mut incoming,
+        length,
+    } = head;
+    let attempt_id = incoming.request.job.attempt.clone();
+    incoming.request.head = buffer.take(length);
+    client.move_buffer(buffer.capacity(), incoming.request.head.capacity());
+    if matches!(incoming.framing, Framing::Length(length) if length > limits.body as u64) {
+        return Err(ReadError::Refused(
+            Refusal::invalid(413, Reason::BodyTooLong),
+            attempt_id,
+        ));
+    }
+    Ok(incoming)
+}
+
+/// Reads the body of a request that the router accepts by its head.
+pub(crate) async fn read_body(
+    buffer: &mut Buffer,
+    limits: &Limits,
+    client: &Client,
+    incoming: Incoming,
+) -> Result<Request, ReadError> {
+    let Incoming {
         expects_continue,
         framing,
-        length,
         mut request,
-    } = head;
-    request.head = buffer.take(length);
+    } = incoming;
     let attempt_id = request.job.attempt.clone();
-    if matches!(framing, Framing::Length(length) if length > limits.body as u64) {
-        return Err(body_too_long(attempt_id));
-    }
-    if expects_continue && buffer.bytes().is_empty() && framing != Framing::Length(0) {
-        let mut stream = buffer.stream();
-        stream
-            .write_all(CONTINUE)
-            .await
-            .map_err(|_| ReadError::Closed)?;
-    }
-    request.body = match timeout(BODY_TIMEOUT, read_body(buffer, framing, limits)).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(None)) => return Err(ReadError::Closed),
-        Ok(Err(Some(refusal))) => return Err(ReadError::Refused(refusal, attempt_id)),
-        Err(_) => {
-            let refusal = Refusal::invalid(408, Reason::BodyTimeout);
-            return Err(ReadError::Refused(refusal, attempt_id));
+    let refused = |failure| match failure {
+        BodyError::Closed => ReadError::Closed,
+        BodyError::NoRoom => no_room(client, attempt_id.clone()),
+        BodyError::Refused(refusal) => ReadError::Refused(refusal, attempt_id.clone()),
+    };
+    let body = &mut request.body;
+    let reading = async {
+        body.reserve(expected_bytes(framing, limits)).await?;
+        if expects_continue && buffer.bytes().is_empty() && framing != Framing::Length(0) {
+            let mut stream = buffer.stream();
+            stream
+                .write_all(CONTINUE)
+                .await
+                .map_err(|_| BodyError::Closed)?;
         }
+        decode_body(buffer, framing, limits, client, body).await?;
+        client.finish_receiving()?;
+        Ok(())
     };
+    let timed_out = |_| BodyError::Refused(Refusal::invalid(408, Reason::BodyTimeout));
+    let read = timeout(BODY_TIMEOUT, reading).await.map_err(timed_out);
+    read.flatten().map_err(refused)?;
     Ok(request)
 }
 
-/// Reads and discards what a refused caller still sends, up to [`MAX_DISCARDED_BYTES`], so that the caller can
-/// read the response.
-pub(crate) async fn discard_input(buffer: &mut Buffer) {
+/// Reads and discards what a refused caller still sends, up to `limit` bytes, so that the caller can read the
+/// response.
+pub(crate) async fn discard_input(buffer: &mut Buffer, limit: usize) {
     let mut discarded = 0;
-    while discarded < MAX_DISCARDED_BYTES {
-        buffer.consume(buffer.bytes().len());
+    while discarded < limit {
         match buffer.fill().await {
             Ok(0) | Err(_) => return,
             Ok(count) => discarded += count,
         }
+        buffer.clear();
+    }
+}
+
+/// Reads and discards the body of a refused request, which has up to [`MAX_DISCARDED_BYTES`]; returns whether it
+/// was complete.
+pub(crate) async fn discard_body(buffer: &mut Buffer, framing: Framing, client: &Client) -> bool {
+    let discard = async {
+        let mut decoder = Decoder::new(framing);
+        loop {
+            let used = decoder.decode(buffer.bytes(), &mut Vec::new()).ok()?;
+            buffer.consume(used);
+            if decoder.is_done() {
+                return Some(());
+            }
+            fill(buffer, client).await.ok()?;
+        }
+    };
+    matches!(timeout(BODY_TIMEOUT, discard).await, Ok(Some(())))
+}
+
+/// Why reading a body failed.
+enum BodyError {
+    Closed,
+    NoRoom,
+    Refused(Refusal),
+}
+
+impl From<NoRoom> for BodyError {
+    fn from(NoRoom: NoRoom) -> Self {
+        Self::NoRoom
     }
 }
 
-async fn read_head(
+/// Reads once, after taking memory for what may arrive.
+async fn fill(buffer: &mut Buffer, client: &Client) -> Result<(), BodyError> {
+    client.hold_buffer(buffer.next_capacity()).await?;
+    let evicted = async {
+        client.evicted().await;
+        Err(BodyError::NoRoom)
+    };
+    let read = async {
+        match buffer.fill().await {
+            Ok(0) | Err(_) => Err(BodyError::Closed),
+            Ok(count) => Ok(count),
+        }
+    };
+    let count = or(evicted, read).await?;
+    client.record_progress(count);
+    client.hold_buffer(buffer.capacity()).await?;
+    Ok(())
+}
+
+async fn wait_for_head(
     buffer: &mut Buffer,
     limits: &Limits,
     received_at: Instant,
+    client: &Arc<Client>,
 ) -> Result<Head, ReadError> {
     loop {
-        if let Some(head) = parse(buffer.bytes(), limits, received_at)? {
+        if let Some(head) = parse(buffer.bytes(), limits, received_at, client)? {
             return Ok(head);
         }
-        match buffer.fill().await {
-            Ok(0) | Err(_) => return Err(ReadError::Closed),
-            Ok(_) => {}
-        }
+        fill(buffer, client).await.map_err(|error| match error {
+            BodyError::Closed => ReadError::Closed,
+            BodyError::NoRoom => no_room(client, None),
+            BodyError::Refused(refusal) => ReadError::Refused(refusal, None),
+        })?;
     }
 }
 
-fn parse(bytes: &[u8], limits: &Limits, received_at: Instant) -> Result<Option<Head>, ReadError> {
+/// The refusal of a request for lack of memory, which is freed.
+fn no_room(client: &Client, attempt_id: Option<Box<str>>) -> ReadError {
+    if client.eviction() == Some(Eviction::Connection) {
+        return ReadError::Closed;
+    }
+    client.record_refusal();
+    let refusal = Refusal::retryable(Reason::NoRoom, retry_after());
+    ReadError::Refused(refusal, attempt_id)
+}
+
+/// Bytes that a body may still have at its start.
+const fn expected_bytes(framing: Framing, limits: &Limits) -> u64 {
+    match framing {
+        Framing::Length(length) => length,
+        Framing::Chunked | Framing::Close => limits.body as u64,
+    }
+}
+
+fn parse(
+    bytes: &[u8],
+    limits: &Limits,
+    received_at: Instant,
+    client: &Arc<Client>,
+) -> Result<Option<Head>, ReadError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Request::new(&mut headers);
     let length = match parsed.parse(bytes) {
@@ -181,7 +303,7 @@
     };
     let request = Request {
         received_at,
-        body: Vec::new(),
+        body: Body::new(client.clone()),
         has_body,
         head: Vec::new(),
         host: host_name(host),
@@ -191,12 +313,12 @@
         method: parsed.method.unwrap_or_default().into(),
         target: target.into(),
     };
-    Ok(Some(Head {
+    let incoming = Incoming {
         expects_continue,
         framing,
-        length,
         request,
-    }))
+    };
+    Ok(Some(Head { incoming, length }))
 }
 
 /// The host without its port, in lower case.
@@ -208,36 +330,37 @@
     name.to_ascii_lowercase().into()
 }
 
-/// Reads and decodes the body. Fails with `None` if the connection closes before its end.
-async fn read_body(
+/// Reads and decodes the body.
+async fn decode_body(
     buffer: &mut Buffer,
     framing: Framing,
     limits: &Limits,
-) -> Result<Vec<u8>, Option<Refusal>> {
+    client: &Client,
+    body: &mut Body,
+) -> Result<(), BodyError> {
     let mut decoder = Decoder::new(framing);
-    let mut body = Vec::new();
     loop {
-        let used = decoder
-            .decode(buffer.bytes(), &mut body)
-            .map_err(|_| Some(Refusal::invalid(400, Reason::Malformed)))?;
-        buffer.consume(used);
-        if body.len() > limits.body {
-            return Err(Some(Refusal::invalid(413, Reason::BodyTooLong)));
+        {
+            let mut bytes = Vec::new();
+            let used = decoder
+                .decode(buffer.bytes(), &mut bytes)
+                .map_err(|_| BodyError::Refused(Refusal::invalid(400, Reason::Malformed)))?;
+            buffer.consume(used);
+            if body.len() + bytes.len() > limits.body {
+                let refusal = Refusal::invalid(413, Reason::BodyTooLong);
+                return Err(BodyError::Refused(refusal));
+            }
+            let sum = (body.len() + bytes.len()) as u64;
+            let left = expected_bytes(framing, limits).saturating_sub(sum);
+            body.append(&bytes, left).await?;
         }
         if decoder.is_done() {
-            return Ok(body);
-        }
-        match buffer.fill().await {
-            Ok(0) | Err(_) => return Err(None),
-            Ok(_) => {}
+            return Ok(());
         }
+        fill(buffer, client).await?;
     }
 }
 
 const fn refused(status: u16, reason: Reason) -> ReadError {
     ReadError::Refused(Refusal::invalid(status, reason), None)
 }
-
-fn body_too_long(attempt_id: Option<Box<str>>) -> ReadError {
-    ReadError::Refused(Refusal::invalid(413, Reason::BodyTooLong), attempt_id)
-}
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::Backend;
 use crate::cause_objects;
+use crate::clients::Clients;
 use crate::drain::Drain;
 use crate::metrics::Metrics;
 use crate::services::Services;
@@ -31,6 +32,7 @@
 /// Configuration, upstreams and connections to peers of one router process.
 pub(crate) struct Router {
     backends: Mutex<BTreeMap<UpstreamId, Arc<Backend>>>,
+    pub(crate) clients: Arc<Clients>,
     pub(crate) clock: Clock,
     pub(crate) drain: Drain,
     /// Requests and parts of prompts that crash upstreams.
@@ -67,11 +69,13 @@
             .filter_map(|pair| pair.split_once('='))
             .map(|(zone, region)| (zone.trim().into(), region.trim().into()))
             .collect();
+        let (clock, metrics) = (Clock::start(), Metrics::default());
         Self {
             backends: Mutex::default(),
             causes: Mutex::default(),
             cause_writes: cause_objects::Writes::default(),
-            clock: Clock::start(),
+            clients: Clients::new(&settings, metrics.clone(), clock),
+            clock,
             drain: Drain::default(),
             services: Services::new(&settings),
             fleet: Mutex::new(Fleet::new(fleet::Options {
@@ -79,7 +83,7 @@
                 ..fleet::Options::default()
             })),
             is_current: AtomicBool::new(false),
-            metrics: Metrics::default(),
+            metrics,
             objects: Objects::new(settings.store),
             peers: Mutex::new(Peers::new(
                 peers::Options::default(),
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -1296,6 +1296,10 @@
     pub contact: Duration,
     /// Bytes of an answer's body that are read; an upstream that sends more has failed.
     pub max_answer: u64,
+    /// Memory of the machine in MB, which limits what clients make the process hold; 0 for no limit.
+    pub memory: u32,
+    /// Descriptors that the process may have, which limit `connections`; 0 for no limit.
+    pub descriptors: u32,
     /// Retries that all entries may send for each request to a service.
     pub retry_ratio: Ratio,
     /// Retries that all entries may send beside the ratio in one window.
@@ -1322,6 +1326,8 @@
             grace: crate::parse_default("8s"),
             contact: crate::parse_default("4s"),
             max_answer: crate::parse_default("16777216"),
+            memory: crate::parse_default("0"),
+            descriptors: crate::parse_default("0"),
             retry_ratio: crate::parse_default("0.2"),
             retry_allowance: crate::parse_default("50"),
             retry_window: crate::parse_default("10s"),
@@ -1410,6 +1416,16 @@
             default: "16777216",
             description: "Bytes of an answer's body that are read; an upstream that sends more has failed.",
         },
+        Key {
+            name: "memory",
+            default: "0",
+            description: "Memory of the machine in MB, which limits what clients make the process hold; 0 for no limit.",
+        },
+        Key {
+            name: "descriptors",
+            default: "0",
+            description: "Descriptors that the process may have, which limit `connections`; 0 for no limit.",
+        },
         Key {
             name: "retry_ratio",
             default: "0.2",
@@ -1492,6 +1508,14 @@
                 self.max_answer = <u64 as Setting>::read(value)
                     .ok_or(Unset::Expected(<u64 as Setting>::EXPECTED))?;
             }
+            "memory" => {
+                self.memory = <u32 as Setting>::read(value)
+                    .ok_or(Unset::Expected(<u32 as Setting>::EXPECTED))?;
+            }
+            "descriptors" => {
+                self.descriptors = <u32 as Setting>::read(value)
+                    .ok_or(Unset::Expected(<u32 as Setting>::EXPECTED))?;
+            }
             "retry_ratio" => {
                 self.retry_ratio = <Ratio as Setting>::read(value)
                     .ok_or(Unset::Expected(<Ratio as Setting>::EXPECTED))?;
