--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -362,12 +362,25 @@
     zones = ",".join(f"{zone}={region}" for zone, region in settings["zones"].items())
     template = re.sub(r"{{#zones}}.*{{/zones}}", zones, template)
 
-    def value(match):
+    def look_up(path):
         found = settings
-        for key in match.group(1).split("."):
+        for key in path.split("."):
             found = found[int(key) if isinstance(found, list) else key]
+        return found
+
+    def section(match):
+        """Rendered once if the value, which is no list or table, is present and not false."""
+        try:
+            found = look_up(match.group(1))
+        except KeyError:
+            return ""
+        return match.group(2).replace("{{.}}", str(found)) if found is not False else ""
+
+    def value(match):
+        found = look_up(match.group(1))
         return ",".join(map(str, found)) if isinstance(found, list) else str(found)
 
+    template = re.sub(r"{{#([a-z_0-9.]+)}}(.*?){{/\1}}", section, template, flags=re.S)
     return re.sub(r"{{([a-z_0-9.]+)}}", value, template)
 
 
