Add the counts of usage and true time to the core

A closed window has a total, so a receiver knows by the sum whether it has all counts, and a datagram needs no part numbers. True time is the boot-time clock plus the median offset of the wall clocks that entries name.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -33,7 +33,9 @@
 mod settings;
 pub mod stored;
 pub mod table;
+pub mod time_offset;
 pub mod upstream;
+pub mod usage;
 
 pub use binding::{Binding, Step};
 pub use budget::Budget;
--- /dev/null
+++ b/core/src/time_offset.rs
@@ -0,0 +1,85 @@
+//! True time from a clock that never jumps and the wall clocks of all entries.
+//!
+//! The wall clock of a machine may jump by seconds. True time is the boot-time clock plus an offset, the median of the
+//! offsets of this machine's wall clock and those that other entries name in their messages, so that jumps of a
+//! minority change nothing.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Clocks, this machine's included, from which on their median replaces the offset in use: of two that differ, none is
+/// known to be right.
+const MIN_CLOCKS: usize = 3;
+/// Time for which another entry's clock counts after its last message. It spans several rounds of gossip, in which an
+/// entry hears from only a few others.
+const EXPIRY: Duration = Duration::from_secs(20);
+/// Time between two updates beyond which the process was frozen or short of processor time.
+const MAX_PAUSE: Duration = Duration::from_secs(1);
+/// Time after such a pause for which messages are not used: they may have waited in the socket, so that the times in
+/// them are old.
+const SETTLING: Duration = Duration::from_millis(500);
+
+/// Another entry's clock.
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    offset: Duration,
+    received_at: Duration,
+}
+
+/// Offset from the boot-time clock to true time, the time since the Unix epoch.
+#[derive(Clone, Debug, Default)]
+pub struct TimeOffset {
+    offset: Option<Duration>,
+    samples: BTreeMap<SocketAddr, Sample>,
+    /// Boot time before which messages are not used.
+    usable_from: Duration,
+    updated_at: Duration,
+}
+
+impl TimeOffset {
+    /// Records the wall-clock time that a message of the entry at `from` contains, received at boot time `now`.
+    pub fn record(&mut self, now: Duration, from: SocketAddr, wall_time: Duration) {
+        let is_late = now.saturating_sub(self.updated_at) > MAX_PAUSE;
+        if is_late || now < self.usable_from {
+            return;
+        }
+        let sample = Sample {
+            offset: wall_time.saturating_sub(now),
+            received_at: now,
+        };
+        self.samples.insert(from, sample);
+    }
+
+    /// Updates the offset at boot time `now`, when this machine's wall clock shows `wall_time`; returns it. To be
+    /// called several times a second.
+    pub fn update(&mut self, now: Duration, wall_time: Duration) -> Duration {
+        if now.saturating_sub(self.updated_at) > MAX_PAUSE {
+            self.usable_from = now + SETTLING;
+        }
+        self.updated_at = now;
+        self.samples
+            .retain(|_, sample| now.saturating_sub(sample.received_at) < EXPIRY);
+        let own = wall_time.saturating_sub(now);
+        let others = self.samples.values().map(|sample| sample.offset);
+        let mut offsets: Vec<_> = others.chain([own]).collect();
+        let offset = match self.offset {
+            Some(offset) if offsets.len() < MIN_CLOCKS => offset,
+            None if offsets.len() < MIN_CLOCKS => own,
+            _ => median(&mut offsets),
+        };
+        self.offset = Some(offset);
+        offset
+    }
+}
+
+/// Median of a list that is not empty.
+fn median(offsets: &mut [Duration]) -> Duration {
+    offsets.sort_unstable();
+    let middle = offsets.len() / 2;
+    if offsets.len() % 2 == 1 {
+        offsets[middle]
+    } else {
+        (offsets[middle - 1] + offsets[middle]) / 2
+    }
+}
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -241,6 +241,61 @@
     /// Some requests that are suspected of crashing upstreams.
     pub suspects: Vec<Suspect>,
 }
+/// Requests of one workspace that began in a window.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UsageCount {
+    pub workspace: Box<str>,
+    pub count: u64,
+}
+/// Counts of one process in one window; some may be missing.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UsageWindow {
+    /// Number of the window.
+    pub window: u64,
+    /// Sum of all counts of the process in the window; null until they are final.
+    pub total: Option<u64>,
+    pub counts: Vec<UsageCount>,
+}
+/// Counts of one process, for the entries that keep them; also stored when they are not acknowledged.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Usage {
+    /// Name of the entry.
+    pub entry: Box<str>,
+    pub start: Epoch,
+    pub windows: Vec<UsageWindow>,
+}
+/// Acknowledges final counts.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UsageAck {
+    /// Process that sent them.
+    pub start: Epoch,
+    /// Windows whose counts add up to their total.
+    pub complete: Vec<u64>,
+    /// Windows of which counts are missing.
+    pub missing: Vec<u64>,
+}
+/// A count in a snapshot.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UsageCell {
+    /// Index of the workspace's name in the snapshot.
+    pub workspace: u32,
+    pub count: u64,
+}
+/// Counts of one process in one window, in a snapshot.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UsageCounter {
+    pub entry: Box<str>,
+    pub start: Epoch,
+    pub window: u64,
+    pub total: Option<u64>,
+    pub cells: Vec<UsageCell>,
+}
+/// Counts of all processes in the windows that are not reported yet.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UsageSnapshot {
+    pub workspaces: Vec<Box<str>>,
+    pub counters: Vec<UsageCounter>,
+}
 /// UDP message between two processes.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Datagram {
@@ -256,6 +311,8 @@
     Withdraw(Withdraw),
     Digest(Digest),
     SuspectPart(SuspectPart),
+    Usage(Usage),
+    UsageAck(UsageAck),
 }
 impl From<Alive> for Datagram {
     fn from(value: Alive) -> Self {
@@ -317,6 +374,16 @@
         Self::SuspectPart(value)
     }
 }
+impl From<Usage> for Datagram {
+    fn from(value: Usage) -> Self {
+        Self::Usage(value)
+    }
+}
+impl From<UsageAck> for Datagram {
+    fn from(value: UsageAck) -> Self {
+        Self::UsageAck(value)
+    }
+}
 /// One HTTP header.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Header {
