--- a/daemon/src/check.rs
+++ b/daemon/src/check.rs
@@ -8,6 +8,10 @@
 /// would always be refused.
 const MIN_BODY_MEMORY_BYTES: u64 = 16 << 20;
 const MIN_FAST_WINDOW: Duration = Duration::from_secs(1);
+/// A shorter lease leaves no time for a renewal over a slow store, or for a call to the provider.
+const MIN_LEASE: Duration = Duration::from_millis(500);
+/// Shorter windows would be reported more often than the entries exchange their counts.
+const MIN_USAGE_WINDOW: Duration = Duration::from_secs(1);
 /// Maximum ratio of `slow_window` to `fast_window`; bounds the buckets that an entry keeps.
 const MAX_WINDOW_RATIO: u32 = 288;
 
@@ -93,6 +97,28 @@
             !self.retry_window.is_zero(),
             "expected more than 0s",
         );
+        for duty in &self.duties {
+            let message = format!("expected metering or autoscale instead of `{duty}`");
+            let is_known = matches!(&**duty, "metering" | "autoscale");
+            validator.require("duties", is_known, &message);
+        }
+        validator.require("duty_rate", self.duty_rate > 0, "expected 1 or more");
+        validator.require(
+            "lease",
+            self.lease >= MIN_LEASE,
+            &format!("expected {MIN_LEASE:?} or more"),
+        );
+        let window = self.usage_window;
+        validator.require(
+            "usage_window",
+            window >= MIN_USAGE_WINDOW && window.subsec_nanos() % 1_000_000 == 0,
+            &format!("expected whole milliseconds, {MIN_USAGE_WINDOW:?} or more"),
+        );
+        validator.require(
+            "usage_delay",
+            !self.usage_delay.is_zero(),
+            "expected more than 0s",
+        );
         for zone in &self.zones {
             let message = format!("expected ZONE=REGION instead of `{zone}`");
             validator.require("zones", zone.contains('='), &message);
--- a/daemon/src/clock.rs
+++ b/daemon/src/clock.rs
@@ -1,5 +1,6 @@
-//! Monotonic clock of a process.
+//! Clocks of a process.
 
+use rustix::time::{ClockId, clock_gettime};
 use std::time::{Duration, Instant};
 
 /// Measures the time since [`Clock::start`].
@@ -19,3 +20,16 @@
         self.start.elapsed()
     }
 }
+
+/// Time since the machine was started, including the time for which it was suspended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BootClock;
+
+impl BootClock {
+    pub fn now(self) -> Duration {
+        // The clock starts at 0, so that its time is never negative.
+        clock_gettime(ClockId::Boottime)
+            .try_into()
+            .unwrap_or_default()
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use arguments::{Command, parse};
 pub use check::{Check, Invalid};
-pub use clock::Clock;
+pub use clock::{BootClock, Clock};
 pub use counters::Counters;
 pub use disconnect::disconnected;
 pub use limiter::{Limiter, Permit, sends_first_byte};
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -11,6 +11,7 @@
 mod delivery;
 mod dispatch;
 mod drain;
+mod duties;
 mod endpoints;
 pub mod events;
 mod fields;
@@ -27,6 +28,7 @@
 mod send_log;
 mod serve;
 mod services;
+mod usage;
 mod watch;
 
 pub use serve::serve;
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -142,6 +142,7 @@
 
 fn digest(router: &Router) -> Digest {
     let now = router.now();
+    let (holder, holder_number) = router.duties.holder().unzip();
     Digest {
         entry: router.settings.id.clone(),
         control: router.settings.control,
@@ -150,6 +151,8 @@
         shares: router.services.shares(now),
         peers: lock_peers(router).hints(|below| rand::rng().random_range(0..below)),
         suspects: sample(crash::fatal_requests(router)).collect(),
+        holder,
+        holder_number: holder_number.unwrap_or(0),
     }
 }
 
@@ -186,6 +189,9 @@
     for suspect in &digest.suspects {
         crash::merge(router, Cause::Request(suspect.fingerprint), suspect);
     }
+    if let Some(holder) = digest.holder {
+        router.duties.record_holder(holder, digest.holder_number);
+    }
     let own_version = router.table().map_or(0, |table| table.version);
     let (from, version, revision) = (digest.control, digest.version, digest.revision);
     let (is_unknown, is_first) = {
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -3,15 +3,17 @@
 use crate::backend::Backend;
 use crate::cause_objects;
 use crate::drain::Drain;
+use crate::duties::Duties;
 use crate::metrics::Metrics;
 use crate::services::Services;
+use crate::usage::Usage;
 use almondwell_core::causes::Causes;
 use almondwell_core::fleet::{self, Change, Fleet};
 use almondwell_core::peers::{self, Peers};
 use almondwell_core::placement;
 use almondwell_core::table::Table;
 use almondwell_core::upstream::{Upstream, UpstreamId};
-use almondwell_daemon::Clock;
+use almondwell_daemon::{BootClock, Clock};
 use almondwell_platform::{Objects, Store};
 use almondwell_schema::{Digest, RouterSettings};
 use almondwell_wire::Socket;
@@ -31,8 +33,11 @@
 /// Configuration, upstreams and connections to peers of one router process.
 pub(crate) struct Router {
     backends: Mutex<BTreeMap<UpstreamId, Arc<Backend>>>,
+    /// Clock that also counts the time for which the machine is suspended.
+    pub(crate) boot_clock: BootClock,
     pub(crate) clock: Clock,
     pub(crate) drain: Drain,
+    pub(crate) duties: Duties,
     /// Requests and parts of prompts that crash upstreams.
     pub(crate) causes: Mutex<Causes>,
     pub(crate) cause_writes: cause_objects::Writes,
@@ -57,6 +62,7 @@
     table: ArcSwapOption<Table>,
     /// The table as JSON from the store, for entries that cannot reach the store.
     raw_table: ArcSwapOption<Vec<u8>>,
+    pub(crate) usage: Usage,
 }
 
 impl Router {
@@ -69,10 +75,12 @@
             .collect();
         Self {
             backends: Mutex::default(),
+            boot_clock: BootClock,
             causes: Mutex::default(),
             cause_writes: cause_objects::Writes::default(),
             clock: Clock::start(),
             drain: Drain::default(),
+            duties: Duties::default(),
             services: Services::new(&settings),
             fleet: Mutex::new(Fleet::new(fleet::Options {
                 removal_grace: settings.drain.mul_f64(REMOVAL_GRACE_SHARE),
@@ -91,6 +99,7 @@
             regions,
             socket,
             store: Store::new(settings.store),
+            usage: Usage::new(&settings),
             settings,
             revision: AtomicU64::new(0),
             table: ArcSwapOption::empty(),
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -240,6 +240,10 @@
     pub peers: Vec<SocketAddr>,
     /// Some requests that are suspected of crashing upstreams.
     pub suspects: Vec<Suspect>,
+    /// Control address of the entry that holds the lease of the duties; none if unknown.
+    pub holder: Option<SocketAddr>,
+    /// Number of that lease; 0 if unknown.
+    pub holder_number: u64,
 }
 /// UDP message between two processes.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -1302,6 +1306,22 @@
     pub retry_allowance: Ratio,
     /// Window in which retries are counted.
     pub retry_window: Duration,
+    /// Address of the platform's provider of usage and capacity calls; empty for no duties.
+    pub provider: Option<SocketAddr>,
+    /// Calls that one entry makes to the provider on behalf of all, `metering` and `autoscale`, separated by commas.
+    pub duties: Vec<Box<str>>,
+    /// Calls a second that the provider accepts from all entries together.
+    pub duty_rate: u32,
+    /// Whether the provider refuses calls with an old fencing number.
+    pub fenced: bool,
+    /// Lease of the entry that makes the calls; another one may take over after this time without a renewal.
+    pub lease: Duration,
+    /// Length of a window of usage.
+    pub usage_window: Duration,
+    /// Time after the end of a window within which its usage has to be reported.
+    pub usage_delay: Duration,
+    /// Share by which a reported count may differ from the true one.
+    pub usage_tolerance: Ratio,
 }
 impl Default for RouterSettings {
     fn default() -> Self {
@@ -1325,6 +1345,14 @@
             retry_ratio: crate::parse_default("0.2"),
             retry_allowance: crate::parse_default("50"),
             retry_window: crate::parse_default("10s"),
+            provider: crate::parse_default(""),
+            duties: crate::parse_default(""),
+            duty_rate: crate::parse_default("50"),
+            fenced: crate::parse_default("no"),
+            lease: crate::parse_default("3s"),
+            usage_window: crate::parse_default("5s"),
+            usage_delay: crate::parse_default("10s"),
+            usage_tolerance: crate::parse_default("0.05"),
         }
     }
 }
@@ -1425,6 +1453,46 @@
             default: "10s",
             description: "Window in which retries are counted.",
         },
+        Key {
+            name: "provider",
+            default: "",
+            description: "Address of the platform's provider of usage and capacity calls; empty for no duties.",
+        },
+        Key {
+            name: "duties",
+            default: "",
+            description: "Calls that one entry makes to the provider on behalf of all, `metering` and `autoscale`, separated by commas.",
+        },
+        Key {
+            name: "duty_rate",
+            default: "50",
+            description: "Calls a second that the provider accepts from all entries together.",
+        },
+        Key {
+            name: "fenced",
+            default: "no",
+            description: "Whether the provider refuses calls with an old fencing number.",
+        },
+        Key {
+            name: "lease",
+            default: "3s",
+            description: "Lease of the entry that makes the calls; another one may take over after this time without a renewal.",
+        },
+        Key {
+            name: "usage_window",
+            default: "5s",
+            description: "Length of a window of usage.",
+        },
+        Key {
+            name: "usage_delay",
+            default: "10s",
+            description: "Time after the end of a window within which its usage has to be reported.",
+        },
+        Key {
+            name: "usage_tolerance",
+            default: "0.05",
+            description: "Share by which a reported count may differ from the true one.",
+        },
     ];
     fn set(&mut self, key: &str, value: &str) -> Result<(), Unset> {
         match key {
@@ -1504,6 +1572,38 @@
                 self.retry_window = <Duration as Setting>::read(value)
                     .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
             }
+            "provider" => {
+                self.provider = <Option<SocketAddr> as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Option<SocketAddr> as Setting>::EXPECTED))?;
+            }
+            "duties" => {
+                self.duties = <Vec<Box<str>> as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Vec<Box<str>> as Setting>::EXPECTED))?;
+            }
+            "duty_rate" => {
+                self.duty_rate = <u32 as Setting>::read(value)
+                    .ok_or(Unset::Expected(<u32 as Setting>::EXPECTED))?;
+            }
+            "fenced" => {
+                self.fenced = <bool as Setting>::read(value)
+                    .ok_or(Unset::Expected(<bool as Setting>::EXPECTED))?;
+            }
+            "lease" => {
+                self.lease = <Duration as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
+            }
+            "usage_window" => {
+                self.usage_window = <Duration as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
+            }
+            "usage_delay" => {
+                self.usage_delay = <Duration as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
+            }
+            "usage_tolerance" => {
+                self.usage_tolerance = <Ratio as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Ratio as Setting>::EXPECTED))?;
+            }
             _ => return Err(Unset::UnknownKey),
         }
         Ok(())
--- a/schema/src/setting.rs
+++ b/schema/src/setting.rs
@@ -88,6 +88,17 @@
     }
 }
 
+impl<T: Setting> Setting for Option<T> {
+    const EXPECTED: &'static str = T::EXPECTED;
+
+    fn read(text: &str) -> Option<Self> {
+        if text.is_empty() {
+            return Some(None);
+        }
+        T::read(text).map(Some)
+    }
+}
+
 impl<T: Setting> Setting for Vec<T> {
     const EXPECTED: &'static str = "values separated by commas";
 
