Count usage at each entry and exchange the counts

A request counts when its engine produces the first token; at other upstreams when it is sent, unless the upstream says that it did not run it. Digests carry the wall clock.

No test over processes yet: it needs the fake provider.

--- a/core/src/time_offset.rs
+++ b/core/src/time_offset.rs
@@ -34,14 +34,13 @@
     samples: BTreeMap<SocketAddr, Sample>,
     /// Boot time before which messages are not used.
     usable_from: Duration,
-    updated_at: Duration,
+    updated_at: Option<Duration>,
 }
 
 impl TimeOffset {
     /// Records the wall-clock time that a message of the entry at `from` contains, received at boot time `now`.
     pub fn record(&mut self, now: Duration, from: SocketAddr, wall_time: Duration) {
-        let is_late = now.saturating_sub(self.updated_at) > MAX_PAUSE;
-        if is_late || now < self.usable_from {
+        if self.has_paused(now) || now < self.usable_from {
             return;
         }
         let sample = Sample {
@@ -54,10 +53,10 @@
     /// Updates the offset at boot time `now`, when this machine's wall clock shows `wall_time`; returns it. To be
     /// called several times a second.
     pub fn update(&mut self, now: Duration, wall_time: Duration) -> Duration {
-        if now.saturating_sub(self.updated_at) > MAX_PAUSE {
+        if self.has_paused(now) {
             self.usable_from = now + SETTLING;
         }
-        self.updated_at = now;
+        self.updated_at = Some(now);
         self.samples
             .retain(|_, sample| now.saturating_sub(sample.received_at) < EXPIRY);
         let own = wall_time.saturating_sub(now);
@@ -71,6 +70,11 @@
         self.offset = Some(offset);
         offset
     }
+
+    fn has_paused(&self, now: Duration) -> bool {
+        let updated_at = self.updated_at;
+        updated_at.is_some_and(|at| now.saturating_sub(at) > MAX_PAUSE)
+    }
 }
 
 /// Median of a list that is not empty.
--- a/core/src/usage/collector.rs
+++ b/core/src/usage/collector.rs
@@ -311,6 +311,11 @@
         true
     }
 
+    /// The last window that needs no counts any more, if one is known.
+    pub const fn reported(&self) -> Option<Window> {
+        self.reported
+    }
+
     /// Forgets the windows up to `reported`.
     pub fn forget(&mut self, reported: Window) {
         self.reported = self.reported.max(Some(reported));
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -12,7 +12,7 @@
 use crate::response::Head;
 use crate::router::Router;
 use crate::selection::{Selection, select};
-use crate::{overload, send_log};
+use crate::{overload, send_log, usage};
 use almondwell_core::table::Retry;
 use almondwell_platform::headers::{self, Envelope, Phase};
 use almondwell_schema::Verdict;
@@ -110,6 +110,11 @@
         }
         let sent = send(delivery, &mut history, &backend, connection, is_reused).await;
         send_log::log_outcome(delivery, &history, &backend, &sent);
+        if matches!(sent, SendOutcome::NotRun) {
+            usage::record_not_run(delivery);
+        } else {
+            usage::record_end(delivery);
+        }
         match sent {
             SendOutcome::Completed { is_keep_alive } => return Outcome::Answered { is_keep_alive },
             SendOutcome::CallerClosed => return Outcome::CallerClosed,
@@ -211,6 +216,7 @@
     let bytes = encode_request(delivery, history, backend);
     progress.set_verdict(Verdict::MayHaveRun);
     progress.reset_sound();
+    usage::record_send(delivery);
     let sent_at = router.now();
     progress.set_holder(sent_at, Some(backend));
     let head = match connection
@@ -315,6 +321,7 @@
         // The caller has the start of a stream, which only events can continue.
         return SendOutcome::Error(Error::InvalidResponse);
     } else {
+        usage::record_token(delivery);
         relay::buffered(delivery, head, connection).await
     };
     match relayed {
--- a/router/src/dispatch.rs
+++ b/router/src/dispatch.rs
@@ -6,8 +6,9 @@
 use crate::refusal::{Reason, Refusal};
 use crate::request::Request;
 use crate::router::{Router, milliseconds};
+use crate::usage;
 use almondwell_core::hash;
-use almondwell_core::table::{Rank, Route, Workspace};
+use almondwell_core::table::{Rank, Route, Table, Workspace};
 use almondwell_daemon::disconnected;
 use almondwell_schema::{Fingerprint, Verdict};
 use async_std::net::TcpStream;
@@ -45,6 +46,8 @@
     pub(crate) band: Option<Range<usize>>,
     pub(crate) deadline: Duration,
     pub(crate) fingerprint: Fingerprint,
+    /// Whether the service's upstreams are engines.
+    pub(crate) is_engine: bool,
     pub(crate) rank: Rank,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Box<str>,
@@ -66,6 +69,7 @@
     is_sound: AtomicBool,
     /// Status of the response that is being relayed; 0 while there is none.
     status: AtomicU16,
+    pub(crate) usage: usage::Mark,
     /// Number of the current [`Verdict`].
     verdict: AtomicU8,
 }
@@ -182,6 +186,7 @@
         or(deadline_exceeded, caller_closed),
     )
     .await;
+    usage::record_end(delivery);
     check_holder(delivery);
     log(router, request, Some(&admitted), &progress, outcome);
     outcome
@@ -259,6 +264,7 @@
         band,
         deadline: job.deadline.unwrap_or(route.timeout).min(route.timeout),
         fingerprint,
+        is_engine: job.model.is_some() || is_engine(&table, service),
         rank: table.rank(workspace.map(|workspace| &**workspace), route),
         route: route.clone(),
         service: service.into(),
@@ -266,6 +272,11 @@
     })
 }
 
+fn is_engine(table: &Table, service: &str) -> bool {
+    let service = table.services.get(service);
+    service.is_some_and(|service| service.is_engine)
+}
+
 /// Hash of the parts of a request that stay the same when a caller retries it.
 fn fingerprint(request: &Request) -> Fingerprint {
     let key = request.job.key.as_deref().unwrap_or_default();
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -28,6 +28,7 @@
 mod send_log;
 mod serve;
 mod services;
+#[allow(dead_code)] // Until the duties read the counts.
 mod usage;
 mod watch;
 
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -26,6 +26,9 @@
     pub(crate) retries: Counter,
     pub(crate) table_version: Gauge,
     pub(crate) duration: Histogram,
+    pub(crate) usage_clock_error: Gauge,
+    pub(crate) usage_incomplete: Counter,
+    pub(crate) usage_store_writes: Counter,
 }
 
 impl Default for Metrics {
@@ -37,6 +40,9 @@
             retries: Counter::default(),
             table_version: Gauge::default(),
             duration: Histogram::new(BUCKETS),
+            usage_clock_error: Gauge::default(),
+            usage_incomplete: Counter::default(),
+            usage_store_writes: Counter::default(),
         }
     }
 }
@@ -71,6 +77,21 @@
             "Version of the configuration in force",
             self.table_version.clone(),
         );
+        registry.register(
+            "usage_clock_error_ms",
+            "Difference of the wall clock from the time that the entries agree on",
+            self.usage_clock_error.clone(),
+        );
+        registry.register(
+            "usage_incomplete",
+            "Usage reports that lacked final counts of an entry",
+            self.usage_incomplete.clone(),
+        );
+        registry.register(
+            "usage_store_writes",
+            "Writes of usage counts that the holder did not acknowledge in time",
+            self.usage_store_writes.clone(),
+        );
         registry
     }
 
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -3,6 +3,7 @@
 
 use crate::crash::{self, Merged};
 use crate::router::Router;
+use crate::usage;
 use almondwell_core::causes::{Cause, is_known_widely};
 use almondwell_core::fleet::Source;
 use almondwell_core::upstream::{State, Upstream};
@@ -77,6 +78,16 @@
     lock_peers(router).addresses().next().is_none()
 }
 
+/// Number of live entries, including this one.
+pub(crate) fn count(router: &Router) -> usize {
+    lock_peers(router).count(router.now())
+}
+
+/// Addresses of the entries that keep what is known of `key`, without this one.
+pub(crate) fn keepers(router: &Router, key: u64) -> Vec<SocketAddr> {
+    lock_peers(router).keepers(key)
+}
+
 /// Receives and handles datagrams from other entries, forever.
 pub(crate) async fn receive(router: Arc<Router>) {
     loop {
@@ -90,6 +101,13 @@
                 let cause = Cause::Part(part.suspect.fingerprint);
                 handle_suspect(&router, cause, &part.suspect, from).await;
             }
+            Ok((Datagram::Usage(counts), from)) => {
+                let ack = router.usage.merge(router.boot_clock.now(), &counts);
+                if let Some(ack) = ack {
+                    send(&router, &ack.into(), from).await;
+                }
+            }
+            Ok((Datagram::UsageAck(ack), from)) => usage::acknowledge(&router, from, &ack),
             Ok((_, from)) => {
                 spdlog::debug!("unexpected datagram ignored", kv: { from = from.to_string() });
             }
@@ -153,6 +171,7 @@
         suspects: sample(crash::fatal_requests(router)).collect(),
         holder,
         holder_number: holder_number.unwrap_or(0),
+        wall_time: router.usage.wall_time(),
     }
 }
 
@@ -163,7 +182,8 @@
     suspects.into_iter().take(MAX_SUSPECTS)
 }
 
-async fn send(router: &Router, datagram: &Datagram, address: SocketAddr) {
+/// Sends a datagram without a delivery guarantee.
+pub(crate) async fn send(router: &Router, datagram: &Datagram, address: SocketAddr) {
     if let Err(error) = router.socket.send(datagram, address).await {
         spdlog::debug!("sending datagram failed", kv: {
             to = address.to_string(), error = error.to_string()
@@ -189,6 +209,7 @@
     for suspect in &digest.suspects {
         crash::merge(router, Cause::Request(suspect.fingerprint), suspect);
     }
+    router.usage.record_digest(router.boot_clock.now(), &digest);
     if let Some(holder) = digest.holder {
         router.duties.record_holder(holder, digest.holder_number);
     }
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -8,6 +8,7 @@
 use crate::framing::{Decoder, Framing, LAST_CHUNK, write_chunk};
 use crate::refusal::{Reason, Refusal};
 use crate::response::Head;
+use crate::usage;
 use async_std::io::WriteExt;
 use std::time::Duration;
 
@@ -141,6 +142,7 @@
         let complete = events.push(&chunk);
         if !complete.is_empty() {
             record_first_token(delivery);
+            usage::record_token(delivery);
             let now = delivery.router.now();
             if now.saturating_sub(*first_event_at.get_or_insert(now)) >= SOUND_AFTER {
                 crash::record_progress(delivery);
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -1,7 +1,7 @@
 //! Startup and shutdown of a router process.
 
 use crate::router::Router;
-use crate::{caller, cause_objects, endpoints, peers, watch};
+use crate::{caller, cause_objects, endpoints, peers, usage, watch};
 use almondwell_daemon::{signals, wait_for_stop};
 use almondwell_platform::store::Kind;
 use almondwell_schema::RouterSettings;
@@ -49,6 +49,11 @@
     task::spawn(peers::gossip(router.clone()));
     task::spawn(cause_objects::follow(router.clone()));
     task::spawn(cause_objects::write(router.clone()));
+    if router.usage.is_counting() {
+        task::spawn(usage::exchange(router.clone()));
+        task::spawn(usage::look_up(router.clone()));
+        task::spawn(usage::write(router.clone()));
+    }
     task::spawn(watch::expire(router.clone()));
     task::spawn(endpoints::ready(router.clone(), ready));
     task::spawn(endpoints::admin(router.clone(), admin));
@@ -80,6 +85,7 @@
         task::sleep(DRAIN_POLL_PERIOD).await;
         waited += DRAIN_POLL_PERIOD;
     }
+    usage::finish(router).await;
     spdlog::info!("router stopped", kv: {
         id = router.settings.id.as_ref(), active = router.drain.active()
     });
