--- a/almondwell/src/control.rs
+++ b/almondwell/src/control.rs
@@ -35,6 +35,8 @@
         | Datagram::Digest(_)
         | Datagram::Suspect(_)
         | Datagram::SuspectPart(_)
+        | Datagram::Usage(_)
+        | Datagram::UsageAck(_)
         | Datagram::Withdraw(_) => {
             entry.metrics.datagrams_rejected.inc();
             return;
--- a/almondwell/src/once.rs
+++ b/almondwell/src/once.rs
@@ -176,6 +176,8 @@
             | Datagram::Digest(_)
             | Datagram::Suspect(_)
             | Datagram::SuspectPart(_)
+            | Datagram::Usage(_)
+            | Datagram::UsageAck(_)
             | Datagram::Withdraw(_) => {}
         }
     }
--- a/side/src/control.rs
+++ b/side/src/control.rs
@@ -57,7 +57,9 @@
         | Datagram::Leaving(_)
         | Datagram::Queued(_)
         | Datagram::Refuse(_)
-        | Datagram::SuspectPart(_) => {
+        | Datagram::SuspectPart(_)
+        | Datagram::Usage(_)
+        | Datagram::UsageAck(_) => {
             side.metrics.datagrams_rejected.inc();
         }
     }
