--- a/almondwell/src/reserve.rs
+++ b/almondwell/src/reserve.rs
@@ -127,6 +127,8 @@
             | Datagram::Digest(_)
             | Datagram::Suspect(_)
             | Datagram::SuspectPart(_)
+            | Datagram::Usage(_)
+            | Datagram::UsageAck(_)
             | Datagram::Withdraw(_) => Step::Wait,
         }
     }
