--- a/core/tests/usage.rs
+++ b/core/tests/usage.rs
@@ -288,6 +288,38 @@
     assert_eq!(windows.last().unwrap().window, WINDOW);
 }
 
+/// Guards against messages that cost more than what has changed.
+#[test]
+fn messages_name_only_what_has_changed() {
+    let bytes = |recorder: &mut Recorder| {
+        let messages = recorder.messages(&[HOLDER], MAX_DATAGRAM_BYTES);
+        let lengths = messages.into_iter().map(|(_, usage)| {
+            postcard::to_stdvec(&Datagram::Usage(usage)).unwrap().len() + TAG_BYTES
+        });
+        lengths.collect::<Vec<_>>()
+    };
+    let mut recorder = Recorder::new(Options::default(), "edge-north-a-01".into(), u64::MAX);
+    recorder.close(Duration::ZERO, 360_000_000);
+    bytes(&mut recorder);
+    let old: Vec<_> = (359_999_990..360_000_000).collect();
+    let old = UsageAck {
+        start: u64::MAX,
+        ..ack(&old, &[])
+    };
+    recorder.acknowledge(HOLDER, &old);
+    assert!(bytes(&mut recorder).is_empty());
+    for index in 0..24 {
+        recorder.count(360_000_000, &format!("workspace-{index:04}"));
+    }
+    let first = bytes(&mut recorder);
+    recorder.count(360_000_000, "workspace-0001");
+    let second = bytes(&mut recorder);
+    recorder.close(Duration::ZERO, 360_000_001);
+    let last = bytes(&mut recorder);
+    println!("24 workspaces {first:?}, one workspace {second:?}, total {last:?}");
+    assert!(first < vec![450] && second < vec![80] && last < vec![60]);
+}
+
 /// Guards against messages that are too long for a datagram, and against counts that are lost in splitting.
 #[test]
 fn messages_of_860_workspaces_fit_into_datagrams() {
