--- a/core/src/time_offset.rs
+++ b/core/src/time_offset.rs
@@ -19,6 +19,8 @@
 /// Time after such a pause for which messages are not used: they may have waited in the socket, so that the times in
 /// them are old.
 const SETTLING: Duration = Duration::from_millis(500);
+/// Time after the start of a process for which it waits for other entries' clocks: they answer its first message.
+const DISCOVERY: Duration = Duration::from_secs(3);
 
 /// Another entry's clock.
 #[derive(Clone, Copy, Debug)]
@@ -32,6 +34,7 @@
 pub struct TimeOffset {
     offset: Option<Duration>,
     samples: BTreeMap<SocketAddr, Sample>,
+    started_at: Option<Duration>,
     /// Boot time before which messages are not used.
     usable_from: Duration,
     updated_at: Option<Duration>,
@@ -56,6 +59,7 @@
         if self.has_paused(now) {
             self.usable_from = now + SETTLING;
         }
+        self.started_at.get_or_insert(now);
         self.updated_at = Some(now);
         self.samples
             .retain(|_, sample| now.saturating_sub(sample.received_at) < EXPIRY);
@@ -71,6 +75,14 @@
         offset
     }
 
+    /// Whether the offset is the best that can be known: enough clocks are, or no more are to be expected. Before that,
+    /// a machine whose wall clock has jumped would close windows that have not ended.
+    pub fn is_settled(&self, now: Duration) -> bool {
+        let is_known = self.samples.len() + 1 >= MIN_CLOCKS;
+        let started_at = self.started_at.unwrap_or(now);
+        is_known || now.saturating_sub(started_at) >= DISCOVERY
+    }
+
     fn has_paused(&self, now: Duration) -> bool {
         let updated_at = self.updated_at;
         updated_at.is_some_and(|at| now.saturating_sub(at) > MAX_PAUSE)
--- a/router/src/usage.rs
+++ b/router/src/usage.rs
@@ -191,8 +191,11 @@
     loop {
         let now = router.boot_clock.now();
         let time = router.usage.update_time(&router, now);
-        let end = router.usage.options.first_open(time);
-        lock(&router.usage.recorder).close(now, end);
+        let is_settled = lock(&router.usage.time).is_settled(now);
+        if is_settled {
+            let end = router.usage.options.first_open(time);
+            lock(&router.usage.recorder).close(now, end);
+        }
         send(&router).await;
         let entries = u32::try_from(peers::count(&router)).unwrap_or(u32::MAX);
         task::sleep(PERIOD.max(PERIOD_PER_ENTRY.saturating_mul(entries))).await;
