--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod hash;
 pub mod job;
 mod lane;
+pub mod lease;
 pub mod ledger;
 mod link_budget;
 pub mod membership;
--- a/core/src/peers.rs
+++ b/core/src/peers.rs
@@ -127,17 +127,27 @@
         self.known.keys().copied()
     }
 
+    /// Whether this entry is one of those that keep what is known of `key`.
+    pub fn keeps(&self, key: u64) -> bool {
+        self.ranked(key).contains(&self.own)
+    }
+
     /// Addresses of the entries that keep what is known of `key`, without this one: those with the highest hashes, so
     /// that entries agree on them without an exchange.
     pub fn keepers(&self, key: u64) -> Vec<SocketAddr> {
+        let mut keepers = self.ranked(key);
+        keepers.retain(|address| *address != self.own);
+        keepers
+    }
+
+    fn ranked(&self, key: u64) -> Vec<SocketAddr> {
         let known = self.addresses().chain([self.own]);
         let mut keepers: Vec<_> = known
             .map(|address| (rendezvous(key, address), address))
             .collect();
         keepers.sort_unstable_by(|one, other| other.cmp(one));
         keepers.truncate(self.options.keepers);
-        let addresses = keepers.into_iter().map(|(_, address)| address);
-        addresses.filter(|address| *address != self.own).collect()
+        keepers.into_iter().map(|(_, address)| address).collect()
     }
 
     /// Addresses of other entries that a message names, so that its receiver learns of them: a random choice, since
--- a/daemon/src/check.rs
+++ b/daemon/src/check.rs
@@ -111,7 +111,7 @@
         let window = self.usage_window;
         validator.require(
             "usage_window",
-            window >= MIN_USAGE_WINDOW && window.subsec_nanos() % 1_000_000 == 0,
+            window >= MIN_USAGE_WINDOW && window.subsec_nanos().is_multiple_of(1_000_000),
             &format!("expected whole milliseconds, {MIN_USAGE_WINDOW:?} or more"),
         );
         validator.require(
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -21,6 +21,7 @@
 mod peers;
 mod refusal;
 mod relay;
+mod reports;
 mod request;
 mod response;
 mod router;
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -18,8 +18,16 @@
     pub(crate) reason: &'static str,
 }
 
+/// Labels of the counter of calls to the provider.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct DutyLabels {
+    pub(crate) result: &'static str,
+}
+
 /// Counters, gauges and latency histograms.
 pub(crate) struct Metrics {
+    pub(crate) duty_calls: Family<DutyLabels, Counter>,
+    pub(crate) duty_number: Gauge,
     pub(crate) requests: Family<Labels, Counter>,
     pub(crate) first_byte: Histogram,
     pub(crate) resumed: Counter,
@@ -31,6 +39,8 @@
 impl Default for Metrics {
     fn default() -> Self {
         Self {
+            duty_calls: Family::default(),
+            duty_number: Gauge::default(),
             requests: Family::default(),
             first_byte: Histogram::new(BUCKETS),
             resumed: Counter::default(),
@@ -45,6 +55,16 @@
     /// A registry with all metrics under the prefix `almondwell`.
     pub(crate) fn registry(&self) -> Registry {
         let mut registry = Registry::with_prefix("almondwell");
+        registry.register(
+            "duty_calls",
+            "Calls to the provider by result",
+            self.duty_calls.clone(),
+        );
+        registry.register(
+            "duty_number",
+            "Number of the lease that this entry holds; 0 for none",
+            self.duty_number.clone(),
+        );
         registry.register(
             "requests",
             "Requests by how they ended",
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -80,7 +80,7 @@
             cause_writes: cause_objects::Writes::default(),
             clock: Clock::start(),
             drain: Drain::default(),
-            duties: Duties::default(),
+            duties: Duties::new(&settings),
             services: Services::new(&settings),
             fleet: Mutex::new(Fleet::new(fleet::Options {
                 removal_grace: settings.drain.mul_f64(REMOVAL_GRACE_SHARE),
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -1,7 +1,7 @@
 //! Startup and shutdown of a router process.
 
 use crate::router::Router;
-use crate::{caller, cause_objects, endpoints, peers, watch};
+use crate::{caller, cause_objects, duties, endpoints, peers, reports, watch};
 use almondwell_daemon::{signals, wait_for_stop};
 use almondwell_platform::store::Kind;
 use almondwell_schema::RouterSettings;
@@ -49,6 +49,10 @@
     task::spawn(peers::gossip(router.clone()));
     task::spawn(cause_objects::follow(router.clone()));
     task::spawn(cause_objects::write(router.clone()));
+    if duties::is_enabled(&router.settings) {
+        task::spawn(duties::keep(router.clone()));
+        task::spawn(reports::send(router.clone()));
+    }
     task::spawn(watch::expire(router.clone()));
     task::spawn(endpoints::ready(router.clone(), ready));
     task::spawn(endpoints::admin(router.clone(), admin));
@@ -66,12 +70,16 @@
 
 /// Reports unready, waits until the load balancer has noticed, then stops accepting connections and waits for
 /// running requests within the grace time.
-async fn shut_down(router: &Router, accept: JoinHandle<()>) {
+async fn shut_down(router: &Arc<Router>, accept: JoinHandle<()>) {
     let limit = router.settings.grace.saturating_sub(EXIT_MARGIN);
     spdlog::info!("router is draining", kv: {
         id = router.settings.id.as_ref(), active = router.drain.active()
     });
     router.drain.start();
+    let release = task::spawn({
+        let router = router.clone();
+        async move { duties::stop(&router, limit).await }
+    });
     task::sleep(UNREADY_PERIOD.min(limit)).await;
     accept.cancel().await;
     router.drain.close_idle();
@@ -80,6 +88,7 @@
         task::sleep(DRAIN_POLL_PERIOD).await;
         waited += DRAIN_POLL_PERIOD;
     }
+    release.await;
     spdlog::info!("router stopped", kv: {
         id = router.settings.id.as_ref(), active = router.drain.active()
     });
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -224,6 +224,35 @@
     /// Work, measured in prefill tokens, decayed over time.
     pub tokens: u64,
 }
+/// Usage report that is about to be sent; whoever holds the lease next sends it unchanged.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeaseReport {
+    pub window: u64,
+    /// Requests by workspace.
+    pub counts: BTreeMap<Box<str>, u64>,
+}
+/// Stored lease of the entry that makes calls to the provider on behalf of all.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeaseRecord {
+    /// Name of the entry that holds it, the same after a restart.
+    pub holder: Box<str>,
+    /// Address of the holder for other entries.
+    pub address: SocketAddr,
+    /// Grows with each acquisition.
+    pub number: u64,
+    /// Random number of the write.
+    pub write: u64,
+    /// Whether the holder has stopped acting before the end of the lease.
+    pub released: bool,
+    /// Earlier holders that may have acted within one lease.
+    pub recent: Vec<Box<str>>,
+    /// Window up to which usage has been reported.
+    pub reported: u64,
+    pub pending: Option<LeaseReport>,
+    /// Counts of the windows that are not reported yet.
+    #[serde(with = "serde_bytes")]
+    pub snapshot: Vec<u8>,
+}
 /// State that entries gossip to each other.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Digest {
