--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -21,6 +21,7 @@
 mod peers;
 mod refusal;
 mod relay;
+mod reports;
 mod request;
 mod response;
 mod router;
@@ -28,7 +29,6 @@
 mod send_log;
 mod serve;
 mod services;
-#[allow(dead_code)] // Until the duties read the counts.
 mod usage;
 mod watch;
 
--- a/router/src/usage.rs
+++ b/router/src/usage.rs
@@ -8,9 +8,8 @@
 pub(crate) use begin::{Mark, record_end, record_not_run, record_send, record_token};
 pub(crate) use stored::{look_up, write};
 
-use crate::peers;
 use crate::router::Router;
-use almondwell_core::hash;
+use crate::{duties, peers};
 use almondwell_core::time_offset::TimeOffset;
 use almondwell_core::usage::{Collector, Options, Receiver, Recorder};
 use almondwell_daemon::BootClock;
@@ -213,7 +212,11 @@
     for _ in 0..LAST_SENDS {
         send(router).await;
         task::sleep(LAST_PERIOD).await;
-        let holder = router.duties.holder();
+        let own = router.settings.control;
+        let holder = router
+            .duties
+            .holder()
+            .filter(|(address, _)| *address != own);
         if holder.is_some_and(|holder| lock(&router.usage.recorder).is_acknowledged(holder)) {
             return;
         }
@@ -228,7 +231,7 @@
 
 async fn send(router: &Router) {
     let own = router.settings.control;
-    let mut receivers: Vec<_> = peers::keepers(router, keepers_key())
+    let mut receivers: Vec<_> = peers::keepers(router, duties::candidates_key())
         .into_iter()
         .chain(router.duties.holder().map(|(address, _)| address))
         .chain([own])
@@ -256,11 +259,6 @@
         .unwrap_or((address, 0))
 }
 
-/// Key of the lease, whose keepers are the entries that may acquire it.
-fn keepers_key() -> u64 {
-    hash::number(&[b"duties/lease"])
-}
-
 fn nanoseconds(time: Duration) -> u64 {
     u64::try_from(time.as_nanos()).unwrap_or(u64::MAX)
 }
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -247,7 +247,7 @@
     /// Earlier holders that may have acted within one lease.
     pub recent: Vec<Box<str>>,
     /// Window up to which usage has been reported.
-    pub reported: Option<u64>,
+    pub reported: u64,
     pub pending: Option<LeaseReport>,
     /// Counts of the windows that are not reported yet.
     #[serde(with = "serde_bytes")]
