Wait for entries that reach only the store, whatever the lengths

Counts in the store were a sign of life for two windows, a new process looked back three; with 1 s windows and a delay of 4 s the report of each next window did not wait for a cut-off entry: 1,275 of 1,307 requests were reported. Both now follow the delay in windows. The holder also looks in the store for each fourth window, for entries that it never heard of.

--- a/core/src/usage.rs
+++ b/core/src/usage.rs
@@ -38,8 +38,6 @@
 /// not have heard of every entry.
 const DISCOVERY_SHARE: f64 = 0.1;
 
-/// Windows before the current one in which a new process says that it counted nothing, so that no report waits for it.
-const LOOK_BACK: Window = 3;
 /// Windows for which counts are kept: without a store no one can report, and a late report is better than none.
 const RETENTION: Window = 120;
 
@@ -78,6 +76,15 @@
         now >= self.end(window) + self.delay.mul_f64(LOOK_UP_SHARE)
     }
 
+    /// Number of windows before the current one whose reports may still be under way.
+    pub fn unreported(&self) -> Window {
+        let delay = self
+            .delay
+            .as_nanos()
+            .div_ceil(self.window.as_nanos().max(1));
+        Window::try_from(delay).unwrap_or(RETENTION).min(RETENTION) + 1
+    }
+
     /// Time from closing a window after which its counts are written to the store.
     fn store_after(&self) -> Duration {
         self.delay.mul_f64(STORE_SHARE)
--- a/core/src/usage/collector.rs
+++ b/core/src/usage/collector.rs
@@ -14,8 +14,6 @@
 const MAX_WORKSPACES: usize = 16_384;
 /// Windows after the current one from which counts are taken: the clock of their sender may be ahead.
 const MAX_AHEAD: Window = 2;
-/// Windows that have ended since the newest one in a recent object of the store, at most.
-const RECENT: Window = 2;
 
 /// One process of an entry.
 type Process = (Box<str>, Epoch);
@@ -127,7 +125,7 @@
         let is_replaced = self.heard.get(&usage.entry).is_some_and(|sign| {
             sign.start.is_some_and(|start| start != usage.start) && sign.window > newest
         });
-        if newest + RECENT >= now && !is_replaced {
+        if newest + self.options.unreported() >= now && !is_replaced {
             self.merge(now, usage);
         } else {
             for window in &usage.windows {
--- a/core/src/usage/recorder.rs
+++ b/core/src/usage/recorder.rs
@@ -1,6 +1,6 @@
 //! Counts of this process, and what it has yet to tell to those that keep them.
 
-use super::{Counts, LOOK_BACK, Options, RETENTION, Window};
+use super::{Counts, Options, RETENTION, Window};
 use almondwell_schema::{Epoch, Usage, UsageAck, UsageCount, UsageWindow};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -135,7 +135,9 @@
     /// that does not run a request says so at once.
     pub fn close(&mut self, now: Duration, end: Window) {
         let oldest = end.saturating_sub(RETENTION);
-        let open = self.open.unwrap_or(end.saturating_sub(LOOK_BACK));
+        // A new process says that it counted nothing in the last windows, so that no report waits for it.
+        let first = end.saturating_sub(self.options.unreported());
+        let open = self.open.unwrap_or(first);
         for window in open.max(oldest)..end {
             let record = self.windows.entry(window).or_default();
             record.closed_at = Some(now);
--- a/core/tests/usage.rs
+++ b/core/tests/usage.rs
@@ -83,6 +83,26 @@
     );
 }
 
+/// Guards against counts in the store that are no sign of life because several windows have ended since: the next windows
+/// would be reported without the entry.
+#[test]
+fn waits_for_an_entry_that_reaches_only_the_store() {
+    for (delay, now) in [(10, WINDOW + 2), (10, WINDOW + 3), (20, WINDOW + 5)] {
+        let options = Options {
+            delay: Duration::from_secs(delay),
+            ..Options::default()
+        };
+        let mut collector = Collector::new(options);
+        collector.merge_stored(now, &usage(1, Some(0), &[]));
+        assert_eq!(collector.lacks(WINDOW), 0);
+        assert_eq!(collector.lacks(WINDOW + 1), 1, "{delay} {now}");
+        // An entry that is gone is not waited for.
+        let mut collector = Collector::new(options);
+        collector.merge_stored(now + 20, &usage(1, Some(0), &[]));
+        assert_eq!(collector.lacks(now + 20), 0);
+    }
+}
+
 /// Guards against reports that wait for a process which was replaced and can send no final counts.
 #[test]
 fn waits_for_no_process_that_was_replaced() {
--- a/router/src/usage/stored.rs
+++ b/router/src/usage/stored.rs
@@ -16,8 +16,9 @@
 /// Conflicts after which a write is given up until the next window: only an earlier process of this entry writes the
 /// object too.
 const MAX_CONFLICTS: u32 = 2;
-/// Unreported windows that are looked up if it is not known up to which one usage was reported.
-const LOOK_BACK: Window = 3;
+/// Windows between two looks when no counts are known to be missing: finds an entry that reached only the store from its
+/// start, or since before this holder began.
+const DISCOVERY_PERIOD: Window = 4;
 
 /// Writes the counts that the holder has not acknowledged in time, forever.
 pub(crate) async fn write(router: Arc<Router>) {
@@ -70,7 +71,8 @@
     Err(Error::Answer("conflicting writes".into()))
 }
 
-/// Looks in the store for counts that a report would lack, once for each window, forever.
+/// Looks in the store for counts that a report would lack, once for each window, and now and then for unknown entries,
+/// forever.
 pub(crate) async fn look_up(router: Arc<Router>) {
     let usage = &router.usage;
     let mut cursor = None;
@@ -96,9 +98,12 @@
                 for counts in found {
                     lock(&usage.collector).merge_stored(now, &counts);
                 }
-                spdlog::info!("usage counts looked up in the store", kv: {
-                    window, objects = objects.len(), lacks = lock(&usage.collector).lacks(window)
-                });
+                let lacks = lock(&usage.collector).lacks(window);
+                if lacks > 0 || !objects.is_empty() {
+                    spdlog::info!("usage counts looked up in the store", kv: {
+                        window, objects = objects.len(), lacks
+                    });
+                }
             }
             Err(error) => {
                 spdlog::info!("looking up usage counts failed", kv: { error = error.to_string() });
@@ -107,16 +112,17 @@
     }
 }
 
-/// The newest window of which counts are missing and are to be looked up.
+/// The newest window for which it is time to look, if counts of it are missing or it is its turn.
 fn due(router: &Router) -> Option<Window> {
     let usage = &router.usage;
     let time = usage.true_time(router.boot_clock.now());
     let current = usage.options.window_at(time);
     let collector = lock(&usage.collector);
-    let first = collector
-        .reported()
-        .map_or(current.saturating_sub(LOOK_BACK), |reported| reported + 1);
-    let mut windows = (first..current).rev();
-    windows
-        .find(|window| usage.options.is_look_up_due(time, *window) && collector.lacks(*window) > 0)
+    let recent = current.saturating_sub(usage.options.unreported());
+    let first = collector.reported().map_or(recent, |reported| reported + 1);
+    let is_due = |window: &Window| usage.options.is_look_up_due(time, *window);
+    let mut unreported = (first..current).rev();
+    let incomplete = unreported.find(|window| is_due(window) && collector.lacks(*window) > 0);
+    let newest = (recent..current).rev().find(is_due);
+    incomplete.max(newest.filter(|window| window.is_multiple_of(DISCOVERY_PERIOD)))
 }
