--- a/core/src/usage/recorder.rs
+++ b/core/src/usage/recorder.rs
@@ -17,8 +17,6 @@
 const ENVELOPE_BYTES: usize = 48;
 /// Most bytes of a window besides its counts: number, total and the length of the list.
 const WINDOW_BYTES: usize = 24;
-/// Most bytes of a count besides the workspace's name: its length and the number.
-const COUNT_BYTES: usize = 8;
 
 /// A process that keeps counts: its control address and, if it holds the lease, the number of the lease. A holder may
 /// have been restarted and have lost its counts, but then has another number.
@@ -300,6 +298,11 @@
     delivery.is_some_and(|delivery| delivery.is_acknowledged)
 }
 
+/// Bytes of an encoded integer, of which each has 7 bits.
+const fn integer_bytes(integer: u64) -> usize {
+    (u64::BITS - (integer | 1).leading_zeros()).div_ceil(7) as usize
+}
+
 /// Windows with their counts, split into parts of limited size.
 struct Batch {
     bytes: usize,
@@ -319,7 +322,8 @@
     fn push(&mut self, window: Window, total: Option<u64>, counts: Vec<UsageCount>) {
         self.push_window(window, total);
         for count in counts {
-            let bytes = count.workspace.len() + COUNT_BYTES;
+            let name = count.workspace.len();
+            let bytes = name + integer_bytes(name as u64) + integer_bytes(count.count);
             if self.bytes + bytes > self.max_bytes {
                 self.parts.push(Vec::new());
                 self.bytes = 0;
--- a/core/tests/usage.rs
+++ b/core/tests/usage.rs
@@ -246,7 +246,12 @@
     let second = bytes(&mut recorder);
     recorder.close(Duration::ZERO, 360_000_001);
     let last = bytes(&mut recorder);
-    println!("24 workspaces {first:?}, one workspace {second:?}, total {last:?}");
+    let ack = UsageAck {
+        start: u64::MAX,
+        ..ack(&[360_000_000], &[])
+    };
+    let ack = postcard::to_stdvec(&Datagram::UsageAck(ack)).unwrap().len() + TAG_BYTES;
+    println!("24 workspaces {first:?}, one workspace {second:?}, total {last:?}, ack {ack}");
     assert!(first < vec![450] && second < vec![80] && last < vec![60]);
 }
 
@@ -263,7 +268,7 @@
     let mut collector = Collector::new(Options::default());
     let messages = recorder.messages(&[HOLDER], MAX_DATAGRAM_BYTES);
     assert!(messages.len() <= 20, "{} datagrams", messages.len());
-    let mut bytes = 0;
+    let (mut bytes, count) = (0, messages.len());
     for (_, usage) in messages {
         let datagram = postcard::to_stdvec(&Datagram::Usage(usage.clone())).unwrap();
         assert!(
@@ -274,7 +279,7 @@
         bytes += datagram.len();
         collector.merge(WINDOW, &usage);
     }
-    println!("860 workspaces: {bytes} bytes");
+    println!("860 workspaces: {bytes} bytes in {count} datagrams");
     assert_eq!(collector.counts(WINDOW), recorder.counts(WINDOW));
     assert_eq!(collector.lacks(WINDOW), 0);
 }
