--- a/router/src/duties.rs
+++ b/router/src/duties.rs
@@ -160,7 +160,13 @@
         objects: &router.objects,
         router: &router,
     };
+    let mut was_suspended = false;
     loop {
+        let is_suspended = task.is_suspended();
+        if is_suspended != was_suspended {
+            was_suspended = is_suspended;
+            spdlog::info!("duties suspended or resumed", kv: { is_suspended });
+        }
         let is_stopping = router.duties.is_stopping.load(Ordering::SeqCst);
         if is_stopping && !router.duties.is_calling.load(Ordering::SeqCst) {
             task.release().await;
@@ -205,6 +211,13 @@
         }
     }
 
+    /// Whether this entry is still named as the holder and its lease is over, since it could not be renewed.
+    fn is_suspended(&self) -> bool {
+        let now = self.router.boot_clock.now();
+        let lease = self.duties.lock();
+        lease.is_held() && lease.number(now).is_none()
+    }
+
     fn is_candidate(&self) -> bool {
         let peers = self.router.peers.lock();
         peers
