--- a/router/src/duties.rs
+++ b/router/src/duties.rs
@@ -160,7 +160,13 @@
         objects: &router.objects,
         router: &router,
     };
+    let mut was_suspended = false;
     loop {
+        let is_suspended = task.is_suspended();
+        if is_suspended != was_suspended {
+            was_suspended = is_suspended;
+            spdlog::info!("duties suspended or resumed", kv: { is_suspended });
+        }
         let is_stopping = router.duties.is_stopping.load(Ordering::SeqCst);
         if is_stopping && !router.duties.is_calling.load(Ordering::SeqCst) {
             task.release().await;
@@ -205,6 +211,13 @@
         }
     }
 
+    /// Whether this entry is still named as the holder and its lease is over, since it could not be renewed.
+    fn is_suspended(&self) -> bool {
+        let now = self.router.boot_clock.now();
+        let lease = self.duties.lock();
+        lease.is_held() && lease.number(now).is_none()
+    }
+
     fn is_candidate(&self) -> bool {
         let peers = self.router.peers.lock();
         peers
@@ -254,7 +267,7 @@
                     lease.record_read(now, found);
                 }
             }),
-            Err(error) => self.report_failure("read", &error),
+            Err(error) => report_failure("read", &error),
         }
     }
 
@@ -271,7 +284,7 @@
             Err(Error::Answer(_) | Error::Lost(_)) => lease.record_lost(),
         });
         if let Err(error) = result {
-            self.report_failure("write", &error);
+            report_failure("write", &error);
         }
     }
 
@@ -342,16 +355,16 @@
         let number = i64::try_from(number).unwrap_or(i64::MAX);
         self.router.metrics.duty_number.set(number);
     }
+}
 
-    fn report_failure(&self, call: &'static str, error: &Error) {
-        match error {
-            Error::Answer(_) => spdlog::warn!("lease call failed", kv: {
-                call, error = error.to_string()
-            }),
-            Error::Down(_) | Error::Lost(_) => spdlog::debug!("lease call failed", kv: {
-                call, error = error.to_string()
-            }),
-        }
+fn report_failure(call: &'static str, error: &Error) {
+    match error {
+        Error::Answer(_) => spdlog::warn!("lease call failed", kv: {
+            call, error = error.to_string()
+        }),
+        Error::Down(_) | Error::Lost(_) => spdlog::debug!("lease call failed", kv: {
+            call, error = error.to_string()
+        }),
     }
 }
 
