--- a/almondwell/src/control.rs
+++ b/almondwell/src/control.rs
@@ -36,6 +36,8 @@
         | Datagram::Suspect(_)
         | Datagram::EngineLoads(_)
         | Datagram::SuspectPart(_)
+        | Datagram::Usage(_)
+        | Datagram::UsageAck(_)
         | Datagram::Withdraw(_) => {
             entry.metrics.datagrams_rejected.inc();
             return;
--- a/almondwell/src/once.rs
+++ b/almondwell/src/once.rs
@@ -177,6 +177,8 @@
             | Datagram::Suspect(_)
             | Datagram::EngineLoads(_)
             | Datagram::SuspectPart(_)
+            | Datagram::Usage(_)
+            | Datagram::UsageAck(_)
             | Datagram::Withdraw(_) => {}
         }
     }
--- a/almondwell/src/reserve.rs
+++ b/almondwell/src/reserve.rs
@@ -128,6 +128,8 @@
             | Datagram::Suspect(_)
             | Datagram::EngineLoads(_)
             | Datagram::SuspectPart(_)
+            | Datagram::Usage(_)
+            | Datagram::UsageAck(_)
             | Datagram::Withdraw(_) => Step::Wait,
         }
     }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod hash;
 pub mod job;
 mod lane;
+pub mod lease;
 pub mod ledger;
 mod link_budget;
 pub mod membership;
@@ -37,7 +38,9 @@
 mod settings;
 pub mod stored;
 pub mod table;
+pub mod time_offset;
 pub mod upstream;
+pub mod usage;
 pub mod watch;
 pub mod zone_share;
 
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -13,7 +13,7 @@
 use crate::response::Head;
 use crate::router::Router;
 use crate::selection::{Selection, select};
-use crate::{overload, send_log};
+use crate::{overload, send_log, usage};
 use almondwell_core::table::Retry;
 use almondwell_platform::headers::{self, Envelope, Phase};
 use almondwell_schema::Verdict;
@@ -97,6 +97,11 @@
         }
         let sent = send(delivery, &mut history, &backend, connection, is_reused).await;
         send_log::log_outcome(delivery, &history, &backend, &sent);
+        if matches!(sent, SendOutcome::NotRun) {
+            usage::record_not_run(delivery);
+        } else {
+            usage::record_end(delivery);
+        }
         match sent {
             SendOutcome::Completed { is_keep_alive } => return Outcome::Answered { is_keep_alive },
             SendOutcome::CallerClosed => return Outcome::CallerClosed,
@@ -187,6 +192,7 @@
     let head = encode_head(delivery, history, backend);
     progress.set_verdict(Verdict::MayHaveRun);
     progress.reset_sound();
+    usage::record_send(delivery);
     let sent_at = router.now();
     progress.set_holder(sent_at, Some(backend));
     let head = match connection
@@ -310,6 +316,7 @@
     let relayed = if is_stream {
         relay::stream(delivery, backend, head, connection, &mut history.events).await
     } else {
+        usage::record_token(delivery);
         relay::buffered(delivery, backend, head, connection).await
     };
     match relayed {
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -24,6 +24,12 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Labels of the counter of calls to the provider.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct DutyLabels {
+    pub(crate) result: &'static str,
+}
+
 /// Counters, gauges and latency histograms.
 #[derive(Clone)]
 pub(crate) struct Metrics {
@@ -36,6 +42,8 @@
     pub(crate) no_room: Counter,
     /// Unfinished requests that gave way to others.
     pub(crate) requests_evicted: Counter,
+    pub(crate) duty_calls: Family<DutyLabels, Counter>,
+    pub(crate) duty_number: Gauge,
     pub(crate) requests: Family<Labels, Counter>,
     pub(crate) fetches: Family<Fetch, Counter>,
     pub(crate) fetches_served: Family<Fetch, Counter>,
@@ -46,6 +54,9 @@
     pub(crate) retries: Counter,
     pub(crate) table_version: Gauge,
     pub(crate) duration: Histogram,
+    pub(crate) usage_clock_error: Gauge,
+    pub(crate) usage_incomplete: Counter,
+    pub(crate) usage_store_writes: Counter,
 }
 
 impl Default for Metrics {
@@ -56,6 +67,8 @@
             held_bytes: Gauge::default(),
             no_room: Counter::default(),
             requests_evicted: Counter::default(),
+            duty_calls: Family::default(),
+            duty_number: Gauge::default(),
             requests: Family::default(),
             fetches: Family::default(),
             fetches_served: Family::default(),
@@ -66,6 +79,9 @@
             retries: Counter::default(),
             table_version: Gauge::default(),
             duration: Histogram::new(BUCKETS),
+            usage_clock_error: Gauge::default(),
+            usage_incomplete: Counter::default(),
+            usage_store_writes: Counter::default(),
         }
     }
 }
@@ -74,6 +90,16 @@
     /// A registry with all metrics under the prefix `almondwell`.
     pub(crate) fn registry(&self) -> Registry {
         let mut registry = Registry::with_prefix("almondwell");
+        registry.register(
+            "duty_calls",
+            "Calls to the provider by result",
+            self.duty_calls.clone(),
+        );
+        registry.register(
+            "duty_number",
+            "Number of the lease that this entry holds; 0 for none",
+            self.duty_number.clone(),
+        );
         registry.register(
             "requests",
             "Requests by how they ended",
@@ -121,6 +147,21 @@
             self.table_version.clone(),
         );
         self.register_limits(&mut registry);
+        registry.register(
+            "usage_clock_error_ms",
+            "Difference of the wall clock from the time that the entries agree on",
+            self.usage_clock_error.clone(),
+        );
+        registry.register(
+            "usage_incomplete",
+            "Usage reports that lacked final counts of an entry",
+            self.usage_incomplete.clone(),
+        );
+        registry.register(
+            "usage_store_writes",
+            "Writes of usage counts that the holder did not acknowledge in time",
+            self.usage_store_writes.clone(),
+        );
         registry
     }
 
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -4,6 +4,7 @@
 use crate::crash::{self, Merged};
 use crate::loads;
 use crate::router::Router;
+use crate::usage;
 use almondwell_core::causes::{Cause, is_known_widely};
 use almondwell_schema::{Datagram, Digest, Suspect, SuspectPart};
 use async_std::task;
@@ -70,6 +71,16 @@
     lock_peers(router).addresses().next().is_none()
 }
 
+/// Number of live entries, including this one.
+pub(crate) fn count(router: &Router) -> usize {
+    lock_peers(router).count(router.now())
+}
+
+/// Addresses of the entries that keep what is known of `key`, without this one.
+pub(crate) fn keepers(router: &Router, key: u64) -> Vec<SocketAddr> {
+    lock_peers(router).keepers(key)
+}
+
 /// Receives and handles datagrams from other entries, forever.
 pub(crate) async fn receive(router: Arc<Router>) {
     loop {
@@ -84,6 +95,13 @@
                 let cause = Cause::Part(part.suspect.fingerprint);
                 handle_suspect(&router, cause, &part.suspect, from).await;
             }
+            Ok((Datagram::Usage(counts), from)) => {
+                let ack = router.usage.merge(router.boot_clock.now(), &counts);
+                if let Some(ack) = ack {
+                    send(&router, &ack.into(), from).await;
+                }
+            }
+            Ok((Datagram::UsageAck(ack), from)) => usage::acknowledge(&router, from, &ack),
             Ok((_, from)) => {
                 spdlog::debug!("unexpected datagram ignored", kv: { from = from.to_string() });
             }
@@ -115,6 +133,7 @@
 
 fn digest(router: &Router) -> Digest {
     let now = router.now();
+    let (holder, holder_number) = router.duties.holder().unzip();
     Digest {
         entry: router.settings.id.clone(),
         control: router.settings.control,
@@ -123,6 +142,9 @@
         shares: router.services.shares(now),
         peers: lock_peers(router).hints(|below| rand::rng().random_range(0..below)),
         suspects: sample(crash::fatal_requests(router)).collect(),
+        holder,
+        holder_number: holder_number.unwrap_or(0),
+        wall_time: router.usage.wall_time(),
     }
 }
 
@@ -133,6 +155,7 @@
     suspects.into_iter().take(MAX_SUSPECTS)
 }
 
+/// Sends a datagram without a delivery guarantee.
 pub(crate) async fn send(router: &Router, datagram: &Datagram, address: SocketAddr) {
     if let Err(error) = router.socket.send(datagram, address).await {
         spdlog::debug!("sending datagram failed", kv: {
@@ -159,6 +182,10 @@
     for suspect in &digest.suspects {
         crash::merge(router, Cause::Request(suspect.fingerprint), suspect);
     }
+    router.usage.record_digest(router.boot_clock.now(), &digest);
+    if let Some(holder) = digest.holder {
+        router.duties.record_holder(holder, digest.holder_number);
+    }
     let own_version = router.table().map_or(0, |table| table.version);
     let (from, version, revision) = (digest.control, digest.version, digest.revision);
     let (is_unknown, is_first) = {
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -4,15 +4,17 @@
 use crate::clients::Clients;
 use crate::demand::Demand;
 use crate::drain::Drain;
+use crate::duties::Duties;
 use crate::metrics::Metrics;
 use crate::services::Services;
+use crate::usage::Usage;
 use almondwell_core::causes::Causes;
 use almondwell_core::fleet::{self, Change, Fleet};
 use almondwell_core::peers::{self, Peers};
 use almondwell_core::placement;
 use almondwell_core::table::Table;
 use almondwell_core::upstream::{Upstream, UpstreamId};
-use almondwell_daemon::Clock;
+use almondwell_daemon::{BootClock, Clock};
 use almondwell_platform::{Objects, Store};
 use almondwell_schema::{Digest, RouterSettings};
 use almondwell_wire::Socket;
@@ -33,8 +35,11 @@
 pub(crate) struct Router {
     backends: Mutex<BTreeMap<UpstreamId, Arc<Backend>>>,
     pub(crate) clients: Arc<Clients>,
+    /// Clock that also counts the time for which the machine is suspended.
+    pub(crate) boot_clock: BootClock,
     pub(crate) clock: Clock,
     pub(crate) drain: Drain,
+    pub(crate) duties: Duties,
     /// Requests and parts of prompts that crash upstreams.
     pub(crate) causes: Mutex<Causes>,
     pub(crate) cause_writes: Demand,
@@ -63,6 +68,7 @@
     table: ArcSwapOption<Table>,
     /// The table as JSON from the store, for entries that cannot reach the store.
     raw_table: ArcSwapOption<Vec<u8>>,
+    pub(crate) usage: Usage,
 }
 
 impl Router {
@@ -76,12 +82,14 @@
         let (clock, metrics) = (Clock::start(), Metrics::default());
         Self {
             backends: Mutex::default(),
+            boot_clock: BootClock,
             causes: Mutex::default(),
             cause_writes: Demand::default(),
             clients: Clients::new(&settings, metrics.clone(), clock),
             clock,
             fetches: Demand::default(),
             drain: Drain::default(),
+            duties: Duties::new(&settings),
             services: Services::new(&settings),
             fleet: Mutex::new(Fleet::new(fleet::Options {
                 removal_grace: settings.drain.mul_f64(REMOVAL_GRACE_SHARE),
@@ -101,6 +109,7 @@
             regions,
             socket,
             store: Store::new(settings.store),
+            usage: Usage::new(&settings),
             settings,
             revision: AtomicU64::new(0),
             table: ArcSwapOption::empty(),
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -224,6 +224,35 @@
     /// Work, measured in prefill tokens, decayed over time.
     pub tokens: u64,
 }
+/// Usage report that is about to be sent; whoever holds the lease next sends it unchanged.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeaseReport {
+    pub window: u64,
+    /// Requests by workspace.
+    pub counts: BTreeMap<Box<str>, u64>,
+}
+/// Stored lease of the entry that makes calls to the provider on behalf of all.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeaseRecord {
+    /// Name of the entry that holds it, the same after a restart.
+    pub holder: Box<str>,
+    /// Address of the holder for other entries.
+    pub address: SocketAddr,
+    /// Grows with each acquisition.
+    pub number: u64,
+    /// Random number of the write.
+    pub write: u64,
+    /// Whether the holder has stopped acting before the end of the lease.
+    pub released: bool,
+    /// Earlier holders that may have acted within one lease.
+    pub recent: Vec<Box<str>>,
+    /// Window up to which usage has been reported.
+    pub reported: u64,
+    pub pending: Option<LeaseReport>,
+    /// Counts of the windows that are not reported yet.
+    #[serde(with = "serde_bytes")]
+    pub snapshot: Vec<u8>,
+}
 /// State that entries gossip to each other.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Digest {
@@ -240,6 +269,67 @@
     pub peers: Vec<SocketAddr>,
     /// Some requests that are suspected of crashing upstreams.
     pub suspects: Vec<Suspect>,
+    /// Control address of the entry that holds the lease of the duties; none if unknown.
+    pub holder: Option<SocketAddr>,
+    /// Number of that lease; 0 if unknown.
+    pub holder_number: u64,
+    /// Time of the sender's wall clock since the Unix epoch; null where usage is not counted.
+    pub wall_time: Option<Duration>,
+}
+/// Requests of one workspace that began in a window.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UsageCount {
+    pub workspace: Box<str>,
+    pub count: u64,
+}
+/// Counts of one process in one window; some may be missing.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UsageWindow {
+    /// Number of the window.
+    pub window: u64,
+    /// Sum of all counts of the process in the window; null until they are final.
+    pub total: Option<u64>,
+    pub counts: Vec<UsageCount>,
+}
+/// Counts of one process, for the entries that keep them; also stored when they are not acknowledged.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Usage {
+    /// Name of the entry.
+    pub entry: Box<str>,
+    pub start: Epoch,
+    pub windows: Vec<UsageWindow>,
+}
+/// Acknowledges final counts.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UsageAck {
+    /// Process that sent them.
+    pub start: Epoch,
+    /// Windows whose counts add up to their total.
+    pub complete: Vec<u64>,
+    /// Windows of which counts are missing.
+    pub missing: Vec<u64>,
+}
+/// A count in a snapshot.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UsageCell {
+    /// Index of the workspace's name in the snapshot.
+    pub workspace: u32,
+    pub count: u64,
+}
+/// Counts of one process in one window, in a snapshot.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UsageCounter {
+    pub entry: Box<str>,
+    pub start: Epoch,
+    pub window: u64,
+    pub total: Option<u64>,
+    pub cells: Vec<UsageCell>,
+}
+/// Counts of all processes in the windows that are not reported yet.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UsageSnapshot {
+    pub workspaces: Vec<Box<str>>,
+    pub counters: Vec<UsageCounter>,
 }
 /// Load of an engine as it reported it to some entry.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -274,6 +364,8 @@
     Digest(Digest),
     SuspectPart(SuspectPart),
     EngineLoads(EngineLoads),
+    Usage(Usage),
+    UsageAck(UsageAck),
 }
 impl From<Alive> for Datagram {
     fn from(value: Alive) -> Self {
@@ -340,6 +432,16 @@
         Self::EngineLoads(value)
     }
 }
+impl From<Usage> for Datagram {
+    fn from(value: Usage) -> Self {
+        Self::Usage(value)
+    }
+}
+impl From<UsageAck> for Datagram {
+    fn from(value: UsageAck) -> Self {
+        Self::UsageAck(value)
+    }
+}
 /// One HTTP header.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Header {
@@ -1333,6 +1435,22 @@
     pub retry_window: Duration,
     /// Whether requests to services without engines stay in their availability zone while its upstreams are fast enough.
     pub zone_first: bool,
+    /// Address of the platform's provider of usage and capacity calls; empty for no duties.
+    pub provider: Option<SocketAddr>,
+    /// Calls that one entry makes to the provider on behalf of all, `metering` and `autoscale`, separated by commas.
+    pub duties: Vec<Box<str>>,
+    /// Calls a second that the provider accepts from all entries together.
+    pub duty_rate: Ratio,
+    /// Whether the provider refuses calls with an old fencing number.
+    pub fenced: bool,
+    /// Lease of the entry that makes the calls; another one may take over after this time without a renewal.
+    pub lease: Duration,
+    /// Length of a window of usage.
+    pub usage_window: Duration,
+    /// Time after the end of a window within which its usage has to be reported.
+    pub usage_delay: Duration,
+    /// Share by which a reported count may differ from the true one.
+    pub usage_tolerance: Ratio,
 }
 impl Default for RouterSettings {
     fn default() -> Self {
@@ -1360,6 +1478,14 @@
             retry_allowance: crate::parse_default("50"),
             retry_window: crate::parse_default("10s"),
             zone_first: crate::parse_default("no"),
+            provider: crate::parse_default(""),
+            duties: crate::parse_default(""),
+            duty_rate: crate::parse_default("50"),
+            fenced: crate::parse_default("no"),
+            lease: crate::parse_default("3s"),
+            usage_window: crate::parse_default("5s"),
+            usage_delay: crate::parse_default("10s"),
+            usage_tolerance: crate::parse_default("0.05"),
         }
     }
 }
@@ -1480,6 +1606,46 @@
             default: "no",
             description: "Whether requests to services without engines stay in their availability zone while its upstreams are fast enough.",
         },
+        Key {
+            name: "provider",
+            default: "",
+            description: "Address of the platform's provider of usage and capacity calls; empty for no duties.",
+        },
+        Key {
+            name: "duties",
+            default: "",
+            description: "Calls that one entry makes to the provider on behalf of all, `metering` and `autoscale`, separated by commas.",
+        },
+        Key {
+            name: "duty_rate",
+            default: "50",
+            description: "Calls a second that the provider accepts from all entries together.",
+        },
+        Key {
+            name: "fenced",
+            default: "no",
+            description: "Whether the provider refuses calls with an old fencing number.",
+        },
+        Key {
+            name: "lease",
+            default: "3s",
+            description: "Lease of the entry that makes the calls; another one may take over after this time without a renewal.",
+        },
+        Key {
+            name: "usage_window",
+            default: "5s",
+            description: "Length of a window of usage.",
+        },
+        Key {
+            name: "usage_delay",
+            default: "10s",
+            description: "Time after the end of a window within which its usage has to be reported.",
+        },
+        Key {
+            name: "usage_tolerance",
+            default: "0.05",
+            description: "Share by which a reported count may differ from the true one.",
+        },
     ];
     fn set(&mut self, key: &str, value: &str) -> Result<(), Unset> {
         match key {
@@ -1575,6 +1741,38 @@
                 self.zone_first = <bool as Setting>::read(value)
                     .ok_or(Unset::Expected(<bool as Setting>::EXPECTED))?;
             }
+            "provider" => {
+                self.provider = <Option<SocketAddr> as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Option<SocketAddr> as Setting>::EXPECTED))?;
+            }
+            "duties" => {
+                self.duties = <Vec<Box<str>> as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Vec<Box<str>> as Setting>::EXPECTED))?;
+            }
+            "duty_rate" => {
+                self.duty_rate = <Ratio as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Ratio as Setting>::EXPECTED))?;
+            }
+            "fenced" => {
+                self.fenced = <bool as Setting>::read(value)
+                    .ok_or(Unset::Expected(<bool as Setting>::EXPECTED))?;
+            }
+            "lease" => {
+                self.lease = <Duration as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
+            }
+            "usage_window" => {
+                self.usage_window = <Duration as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
+            }
+            "usage_delay" => {
+                self.usage_delay = <Duration as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
+            }
+            "usage_tolerance" => {
+                self.usage_tolerance = <Ratio as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Ratio as Setting>::EXPECTED))?;
+            }
             _ => return Err(Unset::UnknownKey),
         }
         Ok(())
--- a/side/src/control.rs
+++ b/side/src/control.rs
@@ -58,7 +58,9 @@
         | Datagram::Queued(_)
         | Datagram::Refuse(_)
         | Datagram::EngineLoads(_)
-        | Datagram::SuspectPart(_) => {
+        | Datagram::SuspectPart(_)
+        | Datagram::Usage(_)
+        | Datagram::UsageAck(_) => {
             side.metrics.datagrams_rejected.inc();
         }
     }
