--- a/daemon/src/check.rs
+++ b/daemon/src/check.rs
@@ -116,7 +116,11 @@
             let is_known = matches!(&**duty, "metering" | "autoscale");
             validator.require("duties", is_known, &message);
         }
-        validator.require("duty_rate", self.duty_rate.value() > 0.0, "expected more than 0");
+        validator.require(
+            "duty_rate",
+            self.duty_rate.value() > 0.0,
+            "expected more than 0",
+        );
         validator.require(
             "lease",
             self.lease >= MIN_LEASE,
--- a/router/src/reports.rs
+++ b/router/src/reports.rs
@@ -20,6 +20,8 @@
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Longest delay after a failure; a report that is due must not wait long once the provider answers again.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
+/// Lowest rate in calls a second that is followed, so that a delay stays within the delay of a report.
+const MIN_DUTY_RATE: f64 = 0.5;
 /// Longest time without a look at the lease, which signals a report itself.
 const IDLE_PERIOD: Duration = Duration::from_secs(5);
 
@@ -29,7 +31,8 @@
         return;
     };
     let provider = Provider::new(address, router.settings.id.clone());
-    let shortest_delay = Duration::from_secs(1).div_f64(router.settings.duty_rate.value());
+    let shortest_delay =
+        Duration::from_secs(1).div_f64(router.settings.duty_rate.value().max(MIN_DUTY_RATE));
     let mut failures = 0;
     loop {
         if failures == 0 {
