Mend what the reviews of loads, zones and duties found

Found by reading, by two who did not write the parts. Zones: a share of 1 was never measured again (at most 0.95 now), base times came from responses that waited, one side unknown froze the share, retries adjusted it. Loads: reports became younger on each hop, sums could overflow, stale responses counted as load; merging cost engines times reports. Duties: the kernel sent a frozen holder's call again after the lease, a release directly after a call without an answer, and a new holder made each entry write its counts to the store. Left: a lease object that somebody deletes, unsettled clocks at the very start, permanent refusals, the size of counts at hundreds of workspaces; docs/design/duties.md and usage.md.

--- a/core/src/lease.rs
+++ b/core/src/lease.rs
@@ -110,6 +110,13 @@
             .map(|held| held.number)
     }
 
+    /// Time for which this process may make a call with `number` from now on, without a further renewal.
+    pub fn allowed_for(&self, now: Duration, number: Number) -> Option<Duration> {
+        let held = self.held.filter(|held| held.number == number);
+        let held = held.filter(|_| self.number(now) == Some(number))?;
+        held.end.checked_sub(now + self.options.margin)
+    }
+
     /// Report that this process may send now, with its number: the object is known to contain it.
     pub fn report(&self, now: Duration) -> Option<(Number, &LeaseReport)> {
         let number = self.number(now)?;
--- a/core/src/quantile.rs
+++ b/core/src/quantile.rs
@@ -14,7 +14,7 @@
         Self {
             fraction,
             step,
-            value: initial,
+            value: initial.max(f64::MIN_POSITIVE),
         }
     }
 
--- a/core/src/usage/recorder.rs
+++ b/core/src/usage/recorder.rs
@@ -72,6 +72,8 @@
 pub struct Recorder {
     calls: u32,
     entry: Box<str>,
+    /// Holder of the lease, and since when this process knows of it.
+    holder: Option<(Option<Receiver>, Duration)>,
     /// First window that is not closed; `None` before the first one is known.
     open: Option<Window>,
     options: Options,
@@ -87,6 +89,7 @@
         Self {
             calls: 0,
             entry,
+            holder: None,
             open: None,
             options,
             start,
@@ -229,9 +232,17 @@
         if self.stored_in == Some(window) {
             return None;
         }
+        let known_since = match self.holder {
+            Some((known, since)) if known == holder => since,
+            Some(_) | None => {
+                self.holder = Some((holder, now));
+                now
+            }
+        };
         let limit = self.options.store_after();
+        // A holder that this process has just heard of had no chance to acknowledge anything.
         let is_late = |record: &Record| {
-            let closed_at = record.closed_at;
+            let closed_at = record.closed_at.map(|at| at.max(known_since));
             closed_at.is_some_and(|at| now.saturating_sub(at) >= limit)
         };
         let is_missing =
--- a/core/src/zone_share.rs
+++ b/core/src/zone_share.rs
@@ -14,6 +14,8 @@
     pub decay: f64,
     /// Largest growth in one period. The share of a zone whose callers double within a second has to follow in about that time.
     pub growth: f64,
+    /// Largest share. The rest of the requests shows when the zone is fast again.
+    pub max_share: f64,
     /// Time between two adjustments. It is longer than a request takes, so that the previous adjustment shows in the figures.
     pub period: Duration,
     /// Fraction of the tolerated time below which the share shrinks.
@@ -28,6 +30,7 @@
         Self {
             decay: 0.85,
             growth: 0.2,
+            max_share: 0.95,
             period: Duration::from_millis(250),
             shrink_below: 0.6,
             tolerance: 0.5,
@@ -67,7 +70,7 @@
         }
     }
 
-    /// The current share, from 0 to 1.
+    /// The current share, from 0 to [`Options::max_share`].
     pub const fn share(&self) -> f64 {
         self.share
     }
@@ -76,6 +79,8 @@
     /// once a period.
     pub fn leaves(&mut self, now: Duration, target: Duration, times: Times, draw: f64) -> bool {
         let (Some(local), Some(remote)) = (times.local, times.remote) else {
+            // Starts anew once both can be compared again.
+            self.share = 0.0;
             return times.local.is_none();
         };
         let needed = target.mul_f64(self.options.tolerance).max(remote);
@@ -98,7 +103,7 @@
             self.share *= self.options.decay;
         } else if !excess.is_zero() && local >= previous {
             let step = excess.div_duration_f64(local) * self.options.growth * 2.0;
-            self.share = (self.share + step.min(self.options.growth)).min(1.0);
+            self.share = (self.share + step.min(self.options.growth)).min(self.options.max_share);
         }
     }
 }
@@ -136,6 +141,6 @@
 /// Expected time of a request at an upstream that runs up to `slots` of its `requests` at once and needs `base` for
 /// one, with the way there.
 pub fn expected_time(base: Duration, requests: u32, slots: u32) -> Duration {
-    let waiting = (requests + 1).saturating_sub(slots);
+    let waiting = requests.saturating_add(1).saturating_sub(slots);
     base + base.mul_f64(f64::from(waiting) / f64::from(slots.max(1)))
 }
--- a/router/src/backend.rs
+++ b/router/src/backend.rs
@@ -27,6 +27,9 @@
 /// parts that are unused for longer.
 const PART_TTL: Duration = Duration::from_secs(20);
 
+/// Age up to which a load report tells whether there is a free slot.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
+
 /// Time without a byte from a running upstream after which it may have crashed; longer than the pauses of most streams.
 const SILENCE: Duration = Duration::from_millis(500);
 
@@ -234,6 +237,14 @@
         is_newer
     }
 
+    /// Whether a request that is sent now will not wait for a slot, as far as is known.
+    pub(crate) fn has_free_slot(&self, now: Duration) -> bool {
+        let inflight = self.inflight.load(Ordering::Acquire);
+        let reported = self.load(now).filter(|(_, age)| *age <= MAX_REPORT_AGE);
+        let reported = reported.map_or(0, |(load, _)| load.running.saturating_add(load.waiting));
+        inflight.max(reported) < self.upstream.slots
+    }
+
     /// Its last load report and the report's age.
     pub(crate) fn load(&self, now: Duration) -> Option<(Load, Duration)> {
         let load = self.lock().load;
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -188,6 +188,7 @@
         router,
         ..
     } = delivery;
+    let has_free_slot = backend.has_free_slot(router.now());
     let inflight = backend.start_request();
     let head = encode_head(delivery, history, backend);
     progress.set_verdict(Verdict::MayHaveRun);
@@ -212,9 +213,11 @@
     if head.status == 421 && !is_stale {
         backend.mark_replaced();
     } else if head.status != 421 {
-        backend.record_load(router.now(), head.metadata.load);
+        if !is_stale {
+            backend.record_load(router.now(), head.metadata.load);
+        }
         backend.record_limit(router.now(), sent_at, head.metadata.limit);
-        if (200..300).contains(&head.status) {
+        if has_free_slot && !is_stale && (200..300).contains(&head.status) {
             record_response(delivery, backend, router.now().saturating_sub(sent_at));
         }
         if head.metadata.phase == Phase::Leaving {
@@ -258,7 +261,7 @@
     sent
 }
 
-/// Records the time of a response, which tells how far upstreams of other zones are away.
+/// Records the time of a response that did not wait, which tells how far upstreams of other zones are away.
 fn record_response(delivery: Delivery<'_>, backend: &Backend, time: Duration) {
     let Delivery {
         admitted, router, ..
--- a/router/src/duties.rs
+++ b/router/src/duties.rs
@@ -23,6 +23,9 @@
 /// Attempts to write the release; without it, others wait for the end of the lease.
 const RELEASE_ATTEMPTS: usize = 3;
 
+/// Time after a call without an answer for which the lease is not released: segments of the call may still be on their way, and
+/// would arrive after a call of the next holder.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
 /// Interval between checks whether the lease has been released, and between attempts to release it.
 const STOP_POLL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -40,6 +43,8 @@
     report_due: Signal,
     /// Wakes the task that keeps the lease.
     step_due: Signal,
+    /// Time of the last call to the provider that ended without an answer.
+    unanswered_at: Mutex<Option<Duration>>,
 }
 
 /// Channel that holds one element while there is something to do.
@@ -73,6 +78,7 @@
             lease: Mutex::new(Lease::new(options, settings.id.clone(), settings.control)),
             report_due: Signal::new(),
             step_due: Signal::new(),
+            unanswered_at: Mutex::default(),
         }
     }
 
@@ -105,6 +111,24 @@
         (!self.is_stopping.load(Ordering::SeqCst)).then_some(running)
     }
 
+    /// Records that a call ended without an answer at `now`.
+    pub(crate) fn record_unanswered(&self, now: Duration) {
+        let mut unanswered_at = self
+            .unanswered_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *unanswered_at = Some(now);
+    }
+
+    /// Time from `now` on in which a call without an answer may still arrive.
+    fn settle_time(&self, now: Duration) -> Duration {
+        let unanswered_at = self
+            .unanswered_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        unanswered_at.map_or(Duration::ZERO, |at| (at + SETTLE_TIME).saturating_sub(now))
+    }
+
     /// Waits until a report may be due, at most for `limit`.
     pub(crate) async fn report_due(&self, limit: Duration) {
         self.report_due.wait(limit).await;
@@ -169,6 +193,8 @@
         }
         let is_stopping = router.duties.is_stopping.load(Ordering::SeqCst);
         if is_stopping && !router.duties.is_calling.load(Ordering::SeqCst) {
+            let now = router.boot_clock.now();
+            task::sleep(router.duties.settle_time(now)).await;
             task.release().await;
             router.duties.has_stopped.store(true, Ordering::Release);
             return;
--- a/router/src/loads.rs
+++ b/router/src/loads.rs
@@ -8,6 +8,7 @@
 use async_std::task;
 use rand::Rng;
 use rand::seq::SliceRandom;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +16,8 @@
 const PERIOD: Duration = Duration::from_millis(250);
 /// Age from which a report is not passed on: it would expire before the next entry could use it much.
 const MAX_AGE: Duration = Duration::from_millis(1500);
+/// Time from one entry to another, between regions, rounded up.
+const HOP_TIME: Duration = Duration::from_millis(15);
 /// Most reports in one datagram of 1,400 bytes; each takes up to 14.
 const MAX_LOADS: usize = 90;
 
@@ -44,12 +47,13 @@
         return;
     }
     let now = router.now();
+    let received: BTreeMap<_, _> = received
+        .loads
+        .iter()
+        .map(|load| (load.engine, load))
+        .collect();
     for backend in engines(router) {
-        let load = received
-            .loads
-            .iter()
-            .find(|load| load.engine == backend.key);
-        if let Some(load) = load {
+        if let Some(load) = received.get(&backend.key) {
             let at = now.saturating_sub(Duration::from_millis(load.age_ms.into()));
             if backend.merge_load(at, load.running, load.waiting) {
                 router.metrics.loads_merged.inc();
@@ -64,7 +68,8 @@
         let (load, age) = backend.load(now)?;
         (age < MAX_AGE).then(|| EngineLoad {
             engine: backend.key,
-            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            // Older by what the way to the next entry takes at most, so that a report never becomes younger.
+            age_ms: u32::try_from((age + HOP_TIME).as_millis()).unwrap_or(u32::MAX),
             running: load.running,
             waiting: load.waiting,
         })
--- a/router/src/reports.rs
+++ b/router/src/reports.rs
@@ -1,6 +1,5 @@
 //! Sends the usage report that the lease object holds to the provider.
 
-use crate::duties::Duties;
 use crate::metrics::DutyLabels;
 use crate::router::Router;
 use almondwell_platform::Provider;
@@ -64,14 +63,17 @@
 
 /// Sends a report; returns whether the provider accepted it.
 async fn send_one(router: &Router, provider: &Provider, number: u64, report: &LeaseReport) -> bool {
-    let is_allowed = || is_number(&router.duties, number, router.boot_clock.now());
+    let allowed_for = || {
+        let now = router.boot_clock.now();
+        router.duties.lock().allowed_for(now, number)
+    };
     let call = async {
         let call = provider.report_usage(
             number,
             report.window,
             &report.counts,
             CALL_TIMEOUT,
-            is_allowed,
+            allowed_for,
         );
         Some(call.await)
     };
@@ -87,6 +89,9 @@
         Some(Err(Failure::Refused(status))) => ("refused", *status),
         Some(Err(Failure::Unanswered(_))) => ("unanswered", 0),
     };
+    if matches!(label, "aborted" | "unanswered") {
+        router.duties.record_unanswered(router.boot_clock.now());
+    }
     let labels = DutyLabels { result: label };
     router.metrics.duty_calls.get_or_create(&labels).inc();
     let window = report.window;
@@ -100,11 +105,6 @@
     label == "accepted"
 }
 
-/// Whether this entry may begin a call with `number`.
-fn is_number(duties: &Duties, number: u64, now: Duration) -> bool {
-    duties.lock().number(now) == Some(number)
-}
-
 /// Returns when the lease, including its renewals, is over.
 async fn lease_ended(router: &Router) {
     loop {
--- a/router/src/selection.rs
+++ b/router/src/selection.rs
@@ -112,7 +112,7 @@
     if eligible.is_empty() && count > 0 {
         return Selection::Limited;
     }
-    if admitted.band.is_none() && router.settings.zone_first {
+    if admitted.band.is_none() && router.settings.zone_first && history.sends == 0 {
         eligible = zones::restrict(delivery, eligible);
     }
     let rate = router.services.prefill_rate(&admitted.service);
@@ -140,7 +140,7 @@
             reported: view
                 .load
                 .filter(|(_, age)| *age <= MAX_LOAD_AGE)
-                .map(|(load, _)| load.running + load.waiting),
+                .map(|(load, _)| load.running.saturating_add(load.waiting)),
             slots: backend.upstream.slots,
             wait: view.wait,
         })
--- a/router/src/zones.rs
+++ b/router/src/zones.rs
@@ -11,6 +11,8 @@
 /// Age up to which the load report of an upstream in another zone is used. An older one says nothing of the room there.
 const MAX_LOAD_AGE: Duration = Duration::from_secs(2);
 
+/// Time by which an upstream in another zone may be slower than the best one there, so that not all requests go to one.
+const NEAR: Duration = Duration::from_millis(5);
 /// Recent failures from which an upstream counts as unusable. In its zone it is often the only one, and an upstream that fails a
 /// part of its requests would otherwise get all of the zone's.
 const MAX_FAILURES: f64 = 0.5;
@@ -35,7 +37,7 @@
             return None;
         }
         let load = view.load.filter(|(_, age)| *age <= MAX_LOAD_AGE);
-        let reported = load.map_or(0, |(load, _)| load.running + load.waiting);
+        let reported = load.map_or(0, |(load, _)| load.running.saturating_add(load.waiting));
         let base = router.services.base_time(service, distance);
         let base = base.unwrap_or(local_base + router.placement.way(distance));
         let requests = view.inflight.max(reported);
@@ -63,6 +65,11 @@
     if leaves {
         router.metrics.left_zone.inc();
     }
-    eligible.retain(|backend| is_local(backend) != leaves);
+    // Among the upstreams elsewhere, those as near as the best one: a farther one may be less loaded and yet slower.
+    let is_near = |backend: &&Arc<Backend>| {
+        let limit = times.remote.map_or(Duration::MAX, |remote| remote + NEAR);
+        !leaves || time(backend).is_some_and(|time| time <= limit)
+    };
+    eligible.retain(|backend| is_local(backend) != leaves && is_near(backend));
     eligible
 }
