--- a/router/src/demand.rs
+++ b/router/src/demand.rs
@@ -1,6 +1,8 @@
 //! Requests for work that a background task does.
 
 use async_std::channel::{Receiver, Sender, bounded};
+use async_std::future::timeout;
+use std::time::Duration;
 
 /// Demand for a run of a task; requests that come before it runs count as one.
 pub(crate) struct Demand {
@@ -20,6 +22,11 @@
         let _ = self.due.0.try_send(());
     }
 
+    /// Waits for the next request, at most for `limit`.
+    pub(crate) async fn wait_for(&self, limit: Duration) {
+        let _ = timeout(limit, self.wait()).await;
+    }
+
     /// Waits for the next request.
     pub(crate) async fn wait(&self) {
         // The sender lives as long as the receiver.
--- a/router/src/duties.rs
+++ b/router/src/duties.rs
@@ -2,12 +2,12 @@
 //!
 //! One task keeps the lease and writes each report into its object; another one sends the report that the object holds.
 
+use crate::demand::Demand;
 use crate::router::{Router, milliseconds};
 use almondwell_core::hash;
 use almondwell_core::lease::{Lease, Options, Step, Write};
 use almondwell_platform::{Error, Expect, Object, Objects, Written};
 use almondwell_schema::{LeaseRecord, LeaseReport, RouterSettings, Version};
-use async_std::channel::{Receiver, Sender, bounded};
 use async_std::future::timeout;
 use async_std::task;
 use std::net::SocketAddr;
@@ -40,33 +40,13 @@
     is_stopping: AtomicBool,
     lease: Mutex<Lease>,
     /// Wakes the task that sends reports.
-    report_due: Signal,
+    report_due: Demand,
     /// Wakes the task that keeps the lease.
-    step_due: Signal,
+    step_due: Demand,
     /// Time of the last call to the provider that ended without an answer.
     unanswered_at: Mutex<Option<Duration>>,
 }
 
-/// Channel that holds one element while there is something to do.
-struct Signal(Sender<()>, Receiver<()>);
-
-impl Signal {
-    fn new() -> Self {
-        let (sender, receiver) = bounded(1);
-        Self(sender, receiver)
-    }
-
-    fn set(&self) {
-        // If the channel is full, the signal is set already.
-        let _ = self.0.try_send(());
-    }
-
-    /// Waits until it is set, or until `limit` has passed.
-    async fn wait(&self, limit: Duration) {
-        let _ = timeout(limit, self.1.recv()).await;
-    }
-}
-
 impl Duties {
     pub(crate) fn new(settings: &RouterSettings) -> Self {
         let options = Options::new(settings.lease);
@@ -76,8 +56,8 @@
             is_calling: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
             lease: Mutex::new(Lease::new(options, settings.id.clone(), settings.control)),
-            report_due: Signal::new(),
-            step_due: Signal::new(),
+            report_due: Demand::default(),
+            step_due: Demand::default(),
             unanswered_at: Mutex::default(),
         }
     }
@@ -131,7 +111,7 @@
 
     /// Waits until a report may be due, at most for `limit`.
     pub(crate) async fn report_due(&self, limit: Duration) {
-        self.report_due.wait(limit).await;
+        self.report_due.wait_for(limit).await;
     }
 }
 
@@ -141,7 +121,7 @@
 impl Drop for Running<'_> {
     fn drop(&mut self) {
         self.0.is_calling.store(false, Ordering::SeqCst);
-        self.0.step_due.set();
+        self.0.step_due.request();
     }
 }
 
@@ -166,7 +146,7 @@
     }
     let duties = &router.duties;
     duties.is_stopping.store(true, Ordering::SeqCst);
-    duties.step_due.set();
+    duties.step_due.request();
     let released = async {
         while !duties.has_stopped.load(Ordering::Acquire) {
             task::sleep(STOP_POLL_PERIOD).await;
@@ -233,7 +213,7 @@
                     self.write(write).await;
                 }
             }
-            Step::Wait(wait) => self.duties.step_due.wait(wait).await,
+            Step::Wait(wait) => self.duties.step_due.wait_for(wait).await,
         }
     }
 
@@ -351,7 +331,7 @@
             (before, lease.is_held(), record, lease.end(), is_due)
         };
         if is_due {
-            self.duties.report_due.set();
+            self.duties.report_due.request();
         }
         let Some(record) = record else {
             return;
