--- a/core/src/usage/collector.rs
+++ b/core/src/usage/collector.rs
@@ -46,9 +46,9 @@
     }
 }
 
-/// The last sign of life of an entry.
+/// The last message from an entry.
 #[derive(Clone, Copy, Debug)]
-struct Sign {
+struct Contact {
     /// Its running process; `None` before its first counts.
     start: Option<Epoch>,
     /// Window in which it was received.
@@ -59,7 +59,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Collector {
     cells: usize,
-    heard: BTreeMap<Box<str>, Sign>,
+    /// Entries that are expected to send final counts.
+    contacts: BTreeMap<Box<str>, Contact>,
     indices: BTreeMap<Box<str>, usize>,
     options: Options,
     /// The last window that needs no counts any more.
@@ -76,24 +77,24 @@
         }
     }
 
-    /// Records in the window `now` a sign of life of the entry with this name.
-    pub fn hear(&mut self, now: Window, entry: &str) {
-        if let Some(sign) = self.heard.get_mut(entry) {
-            sign.window = sign.window.max(now);
+    /// Records in the window `now` a message from the entry with this name.
+    pub fn record_contact(&mut self, now: Window, entry: &str) {
+        if let Some(contact) = self.contacts.get_mut(entry) {
+            contact.window = contact.window.max(now);
         } else {
-            let sign = Sign {
+            let contact = Contact {
                 start: None,
                 window: now,
             };
-            self.heard.insert(entry.into(), sign);
+            self.contacts.insert(entry.into(), contact);
         }
     }
 
     /// Merges the counts in a message, received in the window `now`; returns the acknowledgement of its final counts.
     pub fn merge(&mut self, now: Window, usage: &Usage) -> UsageAck {
-        self.hear(now, &usage.entry);
-        if let Some(sign) = self.heard.get_mut(&usage.entry) {
-            sign.start = Some(usage.start);
+        self.record_contact(now, &usage.entry);
+        if let Some(contact) = self.contacts.get_mut(&usage.entry) {
+            contact.start = Some(usage.start);
         }
         let mut ack = UsageAck {
             start: usage.start,
@@ -115,15 +116,15 @@
         ack
     }
 
-    /// Merges counts that were found in the store in the window `now`. They are a sign of life of their process only if
+    /// Merges counts that were found in the store in the window `now`. They count as a message from their process only if
     /// they are recent: objects outlive their entries.
     pub fn merge_stored(&mut self, now: Window, usage: &Usage) {
         let newest = usage.windows.iter().map(|window| window.window).max();
         let Some(newest) = newest else {
             return;
         };
-        let is_replaced = self.heard.get(&usage.entry).is_some_and(|sign| {
-            sign.start.is_some_and(|start| start != usage.start) && sign.window > newest
+        let is_replaced = self.contacts.get(&usage.entry).is_some_and(|contact| {
+            contact.start.is_some_and(|start| start != usage.start) && contact.window > newest
         });
         if newest + self.options.unreported() >= now && !is_replaced {
             self.merge(now, usage);
@@ -184,7 +185,7 @@
     /// Drops what is too old or too much.
     fn expire(&mut self, now: Window) {
         let oldest = now.saturating_sub(RETENTION);
-        self.heard.retain(|_, sign| sign.window >= oldest);
+        self.contacts.retain(|_, contact| contact.window >= oldest);
         while let Some(first) = self.windows.first_entry() {
             if *first.key() >= oldest && self.cells <= MAX_CELLS {
                 break;
@@ -197,22 +198,22 @@
 
     /// Number of entries whose final counts of `window` are missing: those heard of in or after it, and those with
     /// counts that were not heard of at all.
-    pub fn lacks(&self, window: Window) -> usize {
+    pub fn incomplete_count(&self, window: Window) -> usize {
         let counters = self.windows.get(&window);
         let is_complete = |entry: &str, start| {
             let process = (Box::from(entry), start);
             let counter = counters.and_then(|counters| counters.get(&process));
             counter.is_some_and(Counter::is_complete)
         };
-        let heard = self.heard.iter().filter(|(entry, sign)| {
-            let is_missing = sign.start.is_none_or(|start| !is_complete(entry, start));
-            sign.window >= window && is_missing
+        let incomplete = self.contacts.iter().filter(|(entry, contact)| {
+            let is_missing = contact.start.is_none_or(|start| !is_complete(entry, start));
+            contact.window >= window && is_missing
         });
         let unheard = counters.into_iter().flatten();
         let unheard = unheard.filter(|((entry, _), counter)| {
-            !self.heard.contains_key(entry) && !counter.is_complete()
+            !self.contacts.contains_key(entry) && !counter.is_complete()
         });
-        heard.count() + unheard.count()
+        incomplete.count() + unheard.count()
     }
 
     /// The counts of `window` if its report can be sent at true time `now`, by a holder whose lease began at
@@ -221,7 +222,7 @@
         let options = self.options;
         let closed = options.end(window) + options.delay.mul_f64(CLOSE_SHARE);
         let discovered = held_since + options.delay.mul_f64(DISCOVERY_SHARE);
-        let is_complete = now >= closed.max(discovered) && self.lacks(window) == 0;
+        let is_complete = now >= closed.max(discovered) && self.incomplete_count(window) == 0;
         let is_due = now >= options.deadline(window, held_since);
         (is_complete || is_due).then(|| self.counts(window))
     }
--- a/core/tests/simulation/mod.rs
+++ b/core/tests/simulation/mod.rs
@@ -351,7 +351,9 @@
                 is_new,
             } => {
                 process.offset.record(boot_now, address(from), wall_time);
-                process.collector.hear(window, &format!("entry-{from}"));
+                process
+                    .collector
+                    .record_contact(window, &format!("entry-{from}"));
                 if holder.1 > process.holder.1 {
                     process.holder = holder;
                 }
--- a/core/tests/simulation/report.rs
+++ b/core/tests/simulation/report.rs
@@ -30,7 +30,7 @@
         let held_since = time.saturating_sub(self.now.saturating_sub(self.held_since));
         let window = self.lease.0 + 1;
         let due = options();
-        if process.collector.lacks(window) > 0 && due.is_look_up_due(time, window) {
+        if process.collector.incomplete_count(window) > 0 && due.is_look_up_due(time, window) {
             for usage in self.store.values() {
                 process.collector.merge_stored(due.window_at(time), usage);
             }
--- a/core/tests/usage.rs
+++ b/core/tests/usage.rs
@@ -83,7 +83,7 @@
     );
 }
 
-/// Guards against counts in the store that are no sign of life because several windows have ended since: the next windows
+/// Guards against counts in the store that do not count as a message because several windows have ended since: the next windows
 /// would be reported without the entry.
 #[test]
 fn waits_for_an_entry_that_reaches_only_the_store() {
@@ -94,12 +94,12 @@
         };
         let mut collector = Collector::new(options);
         collector.merge_stored(now, &usage(1, Some(0), &[]));
-        assert_eq!(collector.lacks(WINDOW), 0);
-        assert_eq!(collector.lacks(WINDOW + 1), 1, "{delay} {now}");
+        assert_eq!(collector.incomplete_count(WINDOW), 0);
+        assert_eq!(collector.incomplete_count(WINDOW + 1), 1, "{delay} {now}");
         // An entry that is gone is not waited for.
         let mut collector = Collector::new(options);
         collector.merge_stored(now + 20, &usage(1, Some(0), &[]));
-        assert_eq!(collector.lacks(now + 20), 0);
+        assert_eq!(collector.incomplete_count(now + 20), 0);
     }
 }
 
@@ -108,11 +108,11 @@
 fn waits_for_no_process_that_was_replaced() {
     let mut collector = Collector::new(Options::default());
     collector.merge(WINDOW, &usage(1, None, &[("a", 5)]));
-    assert_eq!(collector.lacks(WINDOW), 1);
+    assert_eq!(collector.incomplete_count(WINDOW), 1);
     collector.merge(WINDOW, &usage(2, None, &[("a", 3)]));
-    assert_eq!(collector.lacks(WINDOW), 1);
+    assert_eq!(collector.incomplete_count(WINDOW), 1);
     collector.merge(WINDOW, &usage(2, Some(3), &[]));
-    assert_eq!(collector.lacks(WINDOW), 0);
+    assert_eq!(collector.incomplete_count(WINDOW), 0);
     assert_eq!(collector.counts(WINDOW), counts(&[("a", 8)]));
 }
 
@@ -281,7 +281,7 @@
     }
     println!("860 workspaces: {bytes} bytes in {count} datagrams");
     assert_eq!(collector.counts(WINDOW), recorder.counts(WINDOW));
-    assert_eq!(collector.lacks(WINDOW), 0);
+    assert_eq!(collector.incomplete_count(WINDOW), 0);
 }
 
 /// Guards against state of a holder that outgrows the machine's memory, and against snapshots that outgrow the lease
@@ -308,7 +308,7 @@
             collector.merge(window, &usage);
         }
     }
-    assert_eq!(collector.lacks(WINDOW + 4), 0);
+    assert_eq!(collector.incomplete_count(WINDOW + 4), 0);
     assert!(collector.snapshot(0, 64 << 10).is_empty());
     let kept = (WINDOW..WINDOW + 5).filter(|window| !collector.counts(*window).is_empty());
     assert!(kept.count() <= 5);
@@ -351,7 +351,7 @@
     assert!(!restored.merge_snapshot(&snapshot[..snapshot.len() / 2]));
     assert_eq!(restored.counts(WINDOW + 1), collector.counts(WINDOW + 1));
     let by_window: BTreeMap<_, _> = (0..4)
-        .map(|index| (index, restored.lacks(WINDOW + index)))
+        .map(|index| (index, restored.incomplete_count(WINDOW + index)))
         .collect();
     assert_eq!(by_window[&3], 0);
 }
--- a/router/src/usage.rs
+++ b/router/src/usage.rs
@@ -98,12 +98,12 @@
         let (now, since) = (self.true_time(now), self.true_time(term.since));
         let collector = lock(&self.collector);
         let counts = collector.report(now, window, since)?;
-        let lacks = collector.lacks(window);
+        let incomplete = collector.incomplete_count(window);
         drop(collector);
-        if lacks > 0 && term.logged != window {
+        if incomplete > 0 && term.logged != window {
             term.logged = window;
             router.metrics.usage_incomplete.inc();
-            spdlog::warn!("usage report lacks final counts", kv: { window, entries = lacks });
+            spdlog::warn!("usage report lacks final counts", kv: { window, entries = incomplete });
         }
         Some(counts)
     }
@@ -131,14 +131,14 @@
         self.is_counting.then(wall_time)
     }
 
-    /// Records another entry's sign of life and its wall clock, received at boot time `now`.
+    /// Records a message from another entry, with its wall clock, received at boot time `now`.
     pub(crate) fn record_digest(&self, now: Duration, digest: &Digest) {
         let Some(time) = digest.wall_time.filter(|_| self.is_counting) else {
             return;
         };
         lock(&self.time).record(now, digest.control, time);
         let window = self.window(now);
-        lock(&self.collector).hear(window, &digest.entry);
+        lock(&self.collector).record_contact(window, &digest.entry);
     }
 
     /// Merges another process's counts, received at boot time `now`; returns the acknowledgement of final ones.
--- a/router/src/usage/begin.rs
+++ b/router/src/usage/begin.rs
@@ -2,7 +2,7 @@
 //!
 //! At an engine, a request begins with its first token. Another upstream begins to work on a request when it gets it,
 //! for which the time of the send is the best estimate; whether it did is known from its response. A request that was
-//! sent and broke off without a word may have run, and counts: its caller is told the same. An engine that broke off
+//! sent and ended without a response may have run, and counts: its caller is told the same. An engine that broke off
 //! before the first token has not begun.
 
 use super::lock;
--- a/router/src/usage/stored.rs
+++ b/router/src/usage/stored.rs
@@ -98,10 +98,10 @@
                 for counts in found {
                     lock(&usage.collector).merge_stored(now, &counts);
                 }
-                let lacks = lock(&usage.collector).lacks(window);
-                if lacks > 0 || !objects.is_empty() {
+                let incomplete = lock(&usage.collector).incomplete_count(window);
+                if incomplete > 0 || !objects.is_empty() {
                     spdlog::info!("usage counts looked up in the store", kv: {
-                        window, objects = objects.len(), lacks
+                        window, objects = objects.len(), incomplete
                     });
                 }
             }
@@ -122,7 +122,8 @@
     let first = collector.reported().map_or(recent, |reported| reported + 1);
     let is_due = |window: &Window| usage.options.is_look_up_due(time, *window);
     let mut unreported = (first..current).rev();
-    let incomplete = unreported.find(|window| is_due(window) && collector.lacks(*window) > 0);
+    let incomplete =
+        unreported.find(|window| is_due(window) && collector.incomplete_count(*window) > 0);
     let newest = (recent..current).rev().find(is_due);
     incomplete.max(newest.filter(|window| window.is_multiple_of(DISCOVERY_PERIOD)))
 }
