--- a/daemon/src/arguments.rs
+++ b/daemon/src/arguments.rs
@@ -1,4 +1,4 @@
-//! Parses the command line: settings from a file and flags that override them.
+//! Parses the command line: settings from a file, environment variables that override them, and flags that override both.
 
 use crate::check::Check;
 use almondwell_schema::{File, FileFault, Settings, Unset, nearest};
@@ -6,6 +6,7 @@
 use lexopt::Parser;
 use lexopt::prelude::{Long, Short, Value, ValueExt};
 use std::collections::BTreeMap;
+use std::env;
 
 /// A daemon's command line.
 #[derive(Clone, Copy, Debug)]
@@ -18,18 +19,43 @@
     pub section: &'static str,
 }
 
+/// Where a value comes from that is not in a settings file.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    Flag,
+    /// Environment variable of the settings of a section.
+    Variable(&'static str),
+}
+
+impl Source {
+    /// Name of the flag or variable that sets `key`.
+    fn name(self, key: &str) -> String {
+        match self {
+            Self::Flag => format!("--{}", key.replace('_', "-")),
+            Self::Variable(section) => prefix(section) + &key.to_ascii_uppercase(),
+        }
+    }
+
+    const fn kind(self) -> &'static str {
+        match self {
+            Self::Flag => "flag",
+            Self::Variable(_) => "environment variable",
+        }
+    }
+}
+
 /// Partly parsed settings and the errors found so far.
 struct Draft<S> {
     errors: Vec<String>,
-    /// Where each key was set, as error messages show it: the file, line and key, or the flag.
+    /// Where each key was set, as error messages show it: the file, line and key, or the flag or variable.
     origins: BTreeMap<Box<str>, String>,
     settings: S,
 }
 
-/// Parses `--settings FILE` and the flags that override it; returns `None` after `--help` or
+/// Parses `--settings FILE` and the environment variables and flags that override it; returns `None` after `--help` or
 /// `--check`.
 ///
-/// All invalid settings are reported in one error, with the file and line or the flag of each.
+/// All invalid settings are reported in one error, with the file and line, the variable or the flag of each.
 pub fn parse<S: Check>(command: Command, parser: &mut Parser) -> Result<Option<S>> {
     let mut draft = Draft {
         errors: Vec::new(),
@@ -53,8 +79,11 @@
             Short(_) | Value(_) => return Err(argument.unexpected().into()),
         }
     }
+    for (key, value) in variables(command.section) {
+        draft.set(Source::Variable(command.section), &key, &value);
+    }
     for (key, value) in flags {
-        draft.set(&key, &value);
+        draft.set(Source::Flag, &key, &value);
     }
     let settings = draft.finish()?;
     if is_check {
@@ -94,23 +123,24 @@
         Ok(())
     }
 
-    fn set(&mut self, key: &str, value: &str) {
-        let flag = flag(key);
+    fn set(&mut self, source: Source, key: &str, value: &str) {
+        let name = source.name(key);
         match self.settings.set(key, value) {
             Ok(()) => {
-                self.origins.insert(key.into(), flag);
+                self.origins.insert(key.into(), name);
             }
             Err(Unset::Expected(expected)) => {
                 self.errors
-                    .push(format!("{flag} {value}: expected {expected}"));
+                    .push(format!("{name} {value}: expected {expected}"));
             }
             Err(Unset::UnknownKey) => {
                 let names = S::KEYS.iter().map(|key| key.name);
                 let hint = nearest(key, names).map_or_else(
                     || "see --help".to_string(),
-                    |name| format!("did you mean `{}`?", self::flag(name)),
+                    |nearest| format!("did you mean `{}`?", source.name(nearest)),
                 );
-                self.errors.push(format!("unknown flag `{flag}`; {hint}"));
+                self.errors
+                    .push(format!("unknown {} `{name}`; {hint}", source.kind()));
             }
         }
     }
@@ -136,9 +166,22 @@
     }
 }
 
-/// Flag of a settings key, such as `--retry-ratio` for `retry_ratio`.
-fn flag(key: &str) -> String {
-    format!("--{}", key.replace('_', "-"))
+/// Start of the names of the environment variables for the settings of `section`.
+fn prefix(section: &str) -> String {
+    format!("ALMONDWELL_{}_", section.to_ascii_uppercase())
+}
+
+/// Keys and values of the environment variables for `section`. An empty variable counts as not set: a template leaves it
+/// empty where it has no value.
+fn variables(section: &str) -> BTreeMap<String, String> {
+    let prefix = prefix(section);
+    env::vars_os()
+        .filter_map(|(name, value)| {
+            let key = name.to_str()?.strip_prefix(&prefix)?.to_ascii_lowercase();
+            let value = value.to_string_lossy().into_owned();
+            (!value.is_empty()).then_some((key, value))
+        })
+        .collect()
 }
 
 fn print_help<S: Settings>(command: Command) {
@@ -151,7 +194,10 @@
     println!("flags:");
     println!("  --check          checks the settings and ends");
     println!("  --settings FILE  reads the section [{section}] of FILE\n");
-    println!("keys of the section [{section}], each also a flag that overrides the file:");
+    println!(
+        "keys of the section [{section}], each also a flag, and a variable {}KEY, that override the file:",
+        prefix(section)
+    );
     let width = S::KEYS.iter().map(|key| key.name.len()).max().unwrap_or(0);
     for key in S::KEYS {
         println!(
--- a/tests/tests/cli.rs
+++ b/tests/tests/cli.rs
@@ -1,7 +1,7 @@
 //! Command lines of the daemons: the help lists the keys of the schema, and a port that is in use is
 //! named.
 
-use almondwell_schema::{EntrySettings, Key, Settings, SideSettings};
+use almondwell_schema::{EntrySettings, Key, RouterSettings, Settings, SideSettings};
 use eyre::{Result, ensure};
 use fakes::process::{free_address, output, path};
 use std::net::TcpListener;
@@ -20,6 +20,7 @@
 help_lists_keys! {
     the_entry_lists_its_keys: "almondwell" ["serve", "--help"] => EntrySettings::KEYS;
     the_side_lists_its_keys: "almondwell-side" ["--help"] => SideSettings::KEYS;
+    the_router_lists_its_keys: "almondwell" ["route", "--help"] => RouterSettings::KEYS;
     the_side_accepts_the_short_help_flag: "almondwell-side" ["-h"] => SideSettings::KEYS;
 }
 
@@ -41,6 +42,38 @@
     the_side_names_its_control_port_in_use: "almondwell-side" ["--pool", "drafting"] => "control";
 }
 
+/// Declares tests, one per line: environment variables, flags of a router, and what checking its settings prints.
+macro_rules! variables {
+    ($($name:ident: $variables:expr, $flags:expr => $printed:literal;)*) => {
+        $(#[test]
+        fn $name() -> Result<()> {
+            checks_variables(&$variables, &$flags, $printed)
+        })*
+    };
+}
+
+variables! {
+    a_variable_sets_a_key: [("ALMONDWELL_ROUTER_MEMORY", "21")], []
+        => "almondwell: wrong settings\nALMONDWELL_ROUTER_MEMORY: expected 0, or 22 or more\n";
+    an_empty_variable_keeps_the_default: [("ALMONDWELL_ROUTER_MEMORY", ""), ("ALMONDWELL_ROUTER_LEASE", "")], [] => "settings of almondwell route are right\n";
+    a_flag_overrides_a_variable: [("ALMONDWELL_ROUTER_MEMORY", "21")], ["--memory", "22"] => "settings of almondwell route are right\n";
+    a_variable_of_another_section_is_ignored: [("ALMONDWELL_ENTRY_SAMPLES", "none")], [] => "settings of almondwell route are right\n";
+    an_invalid_variable_is_an_error: [("ALMONDWELL_ROUTER_LEASE", "ms")], []
+        => "almondwell: wrong settings\nALMONDWELL_ROUTER_LEASE ms: expected a duration such as 250ms, 2s, 5m or 1h\n";
+    an_unknown_variable_is_an_error: [("ALMONDWELL_ROUTER_MEMROY", "22")], []
+        => "almondwell: wrong settings\nunknown environment variable `ALMONDWELL_ROUTER_MEMROY`; did you mean `ALMONDWELL_ROUTER_MEMORY`?\n";
+}
+
+fn checks_variables(variables: &[(&str, &str)], flags: &[&str], printed: &str) -> Result<()> {
+    let mut command = Command::new(path("almondwell")?);
+    command.args(["route", "--check"]).args(flags);
+    command.envs(variables.iter().copied());
+    let output = output(&mut command)?;
+    let text = String::from_utf8([output.stdout, output.stderr].concat())?;
+    ensure!(text == printed, "{text}");
+    Ok(())
+}
+
 fn names_port_in_use(program: &str, arguments: &[&str], key: &str) -> Result<()> {
     let taken = TcpListener::bind("127.0.0.1:0")?;
     let address = taken.local_addr()?;
