Read no more of a watch than the newest versions take

Cause: the store answers a watch with every version since the last one, and the client read them all: 12.4 MB over each link, the same at all routers that the store served. While it read one version, two more were written.

A watch's answer that exceeds one and a half times the last list, and 64 KiB, now leads to a list, which holds each object once; a receive buffer of 128 KiB bounds what is still on its way. All kinds of objects use this function.

--- a/configuration/src/watch.rs
+++ b/configuration/src/watch.rs
@@ -2,7 +2,7 @@
 
 use crate::replica::adopt_if_newer;
 use crate::{KEY, Node, gossip};
-use almondwell_platform::store::Revision;
+use almondwell_platform::store::Cursor;
 use almondwell_platform::{Error, Object};
 use async_std::future::timeout;
 use async_std::task;
@@ -26,7 +26,7 @@
 /// Watches the store, or reads it at random intervals, until the process ends; adopts each
 /// newer configuration and notifies peers.
 pub async fn run(node: &impl Node) {
-    let mut from = None;
+    let mut from = Cursor::START;
     let mut is_down = false;
     loop {
         let should_watch = should_watch(node);
@@ -74,7 +74,7 @@
     *is_down = result.is_err();
 }
 
-async fn watch(node: &impl Node, from: &mut Option<Revision>) -> Result<Option<Object>, Error> {
+async fn watch(node: &impl Node, from: &mut Cursor) -> Result<Option<Object>, Error> {
     let watch = node.objects().watch(KEY, from, WATCH_TIMEOUT);
     match timeout(WATCH_TIMEOUT + WATCH_GRACE, watch).await {
         Ok(object) => object,
@@ -84,7 +84,7 @@
     }
 }
 
-async fn read(node: &impl Node, from: &mut Option<Revision>) -> Result<Option<Object>, Error> {
+async fn read(node: &impl Node, from: &mut Cursor) -> Result<Option<Object>, Error> {
     let read = node.objects().watch(KEY, from, Duration::ZERO);
     match timeout(READ_TIMEOUT, read).await {
         Ok(object) => object,
--- a/router/src/cause_objects.rs
+++ b/router/src/cause_objects.rs
@@ -5,6 +5,7 @@
 use crate::peers;
 use crate::router::Router;
 use almondwell_core::causes::Cause;
+use almondwell_platform::store::Cursor;
 use almondwell_platform::{Error, Expect, Written};
 use almondwell_schema::{Suspect, Suspects};
 use async_std::task;
@@ -49,7 +50,7 @@
 
 /// Reads the objects at the start and whenever they change, forever.
 pub(crate) async fn follow(router: Arc<Router>) {
-    let mut cursor = None;
+    let mut cursor = Cursor::START;
     loop {
         let timeout = if peers::is_isolated(&router) {
             router.settings.contact
--- a/router/src/usage/stored.rs
+++ b/router/src/usage/stored.rs
@@ -3,6 +3,7 @@
 use super::lock;
 use crate::router::Router;
 use almondwell_core::usage::Window;
+use almondwell_platform::store::Cursor;
 use almondwell_platform::{Error, Expect, Written};
 use almondwell_schema::{Usage, Version};
 use async_std::task;
@@ -75,7 +76,7 @@
 /// forever.
 pub(crate) async fn look_up(router: Arc<Router>) {
     let usage = &router.usage;
-    let mut cursor = None;
+    let mut cursor = Cursor::START;
     let mut looked_up = 0;
     loop {
         task::sleep(PERIOD).await;
--- a/router/src/watch.rs
+++ b/router/src/watch.rs
@@ -4,7 +4,7 @@
 use almondwell_core::fleet::{Change, Fleet, Source};
 use almondwell_core::upstream::{Upstream, UpstreamId};
 use almondwell_core::watch::Watch;
-use almondwell_platform::store::{Changes, Event, Item, Kind, Revision};
+use almondwell_platform::store::{Changes, Cursor, Event, Item, Kind, Revision};
 use almondwell_platform::{Error, decode};
 use async_std::task;
 use rand::Rng;
@@ -29,17 +29,17 @@
 pub(crate) async fn watch(router: Arc<Router>, kind: Kind) {
     let mut failures = 0;
     let mut watch = Watch::new(router.settings.contact);
-    let mut revision: Option<Revision> = None;
+    let mut cursor = Cursor::START;
     loop {
         let start = router.now();
         let limits = watch.limits(start);
-        let previous = revision;
-        match router.store.changes(kind, &mut revision, limits).await {
+        let previous = cursor.revision();
+        match router.store.changes(kind, &mut cursor, limits).await {
             Ok(changes) => {
                 failures = 0;
                 watch.record_answer(router.now(), start, limits);
                 let has_changed = apply(&router, kind, previous, start, &changes);
-                match (kind, revision) {
+                match (kind, cursor.revision()) {
                     (Kind::Configuration, _) => router.set_current(true),
                     (Kind::Upstreams, Some(at)) => router.record_list(at),
                     (Kind::Upstreams, None) => {}
