Refuse or answer, within the grace time, what a stopping entry holds

Callers saw requests taken late in the grace time of a planned stop, passed on to upstreams and then cut without an answer, bookings among them; requests on connections first used 3 s after the signal got no answer either.

Cause: only the wait at the end knew the grace time; admission, the deadline sent to upstreams and reading did not.

Now all know the end. A request is refused as not run (503, stopping) before each send unless 95 of 100 recent answers like it took no longer than what is left, or its own time limit fits; upstreams get what is left; what still runs 0.5 s before the kill is answered; connections that have not sent their first request are waited for. `almondwell serve` gets the setting `grace` (none by default) and does the same; without a limit it waited for its last request, so that a kill cut it. The wait counts time, not polls.

--- a/almondwell/src/connection.rs
+++ b/almondwell/src/connection.rs
@@ -31,7 +31,11 @@
         if bytes.is_empty() && !wait_for_request(entry, &tcp).await {
             return Ok(());
         }
-        let received = match receive(entry, &mut tcp, &mut bytes).await? {
+        let stopped = async {
+            entry.drain.finished().await;
+            Ok(Err(Refusal::stopping()))
+        };
+        let received = match receive(entry, &mut tcp, &mut bytes).or(stopped).await? {
             Ok(received) => received,
             Err(refusal) => return reject(entry, &mut tcp, &refusal).await,
         };
--- a/almondwell/src/entry.rs
+++ b/almondwell/src/entry.rs
@@ -1,5 +1,6 @@
 //! Shared state of an entry process.
 
+use crate::answer_times::AnswerTimes;
 use crate::budgets::Budgets;
 use crate::burn::Burn;
 use crate::catalog::Catalog;
@@ -24,6 +25,7 @@
 
 /// Shared state of an entry process.
 pub(crate) struct Entry {
+    pub(crate) answer_times: Arc<AnswerTimes>,
     pub(crate) budgets: Budgets,
     pub(crate) burn: Arc<Burn>,
     pub(crate) catalog: ArcSwap<Catalog>,
@@ -55,6 +57,7 @@
         let epoch = rand::random_range(1..=Epoch::MAX);
         let stored_name = format!("{}.{epoch:016x}", settings.id);
         Ok(Self {
+            answer_times: Arc::default(),
             budgets: Budgets::default(),
             burn: Arc::new(Burn::new(&settings)),
             catalog: ArcSwap::default(),
--- a/almondwell/src/handler.rs
+++ b/almondwell/src/handler.rs
@@ -6,7 +6,8 @@
 use crate::observation::Observation;
 use crate::refusal::Refusal;
 use crate::{chat, headers, models, plain, stored};
-use almondwell_schema::RequestId;
+use almondwell_schema::{RequestId, Verdict};
+use futures_lite::FutureExt;
 use http_types::{Method, Request, Response, StatusCode};
 use std::sync::Arc;
 
@@ -68,13 +69,26 @@
     Route::Job(Arc::new(job))
 }
 
-async fn serve(entry: &Entry, job: Arc<Job>) -> Response {
+async fn serve(entry: &Entry, mut job: Arc<Job>) -> Response {
     let id = job.request;
+    let now = entry.clock.now();
+    let mut refusal = entry.suspects.refusal(now, &job);
+    if let Some(left) = entry.drain.left(now) {
+        if !entry.answer_times.fits(now, &job, left) {
+            refusal.get_or_insert_with(Refusal::stopping);
+        }
+        let end = now + left;
+        Arc::make_mut(&mut job).deadline = job.deadline.min(end);
+    }
     let mut observation = Observation::new(entry, job.clone());
-    let refusal = entry.suspects.refusal(entry.clock.now(), &job);
+    let stopped = async {
+        entry.drain.finished().await;
+        let message = "the entry stopped while the request ran";
+        Err(Refusal::failed(Verdict::MayHaveRun, message))
+    };
     let outcome = match refusal {
         Some(refusal) => Err(refusal),
-        None => dispatch(entry, &job).await,
+        None => dispatch(entry, &job).or(stopped).await,
     };
     match outcome {
         Ok(answer) => answer.response(id, observation),
--- a/almondwell/src/main.rs
+++ b/almondwell/src/main.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod admin_client;
 mod answer;
+mod answer_times;
 mod availability;
 mod budgets;
 mod burn;
--- a/almondwell/src/observation.rs
+++ b/almondwell/src/observation.rs
@@ -1,5 +1,6 @@
 //! Measures one request until its answer has been sent completely.
 
+use crate::answer_times::AnswerTimes;
 use crate::entry::Entry;
 use crate::job::Job;
 use crate::metrics::{Labels, Metrics, Trace};
@@ -20,6 +21,7 @@
 /// Counts one request exactly once, however it ends. Dropping it before an end was recorded means
 /// that the caller disconnected.
 pub(crate) struct Observation {
+    answer_times: Arc<AnswerTimes>,
     burn: Arc<Burn>,
     clock: Clock,
     events: u32,
@@ -34,6 +36,7 @@
 impl Observation {
     pub(crate) fn new(entry: &Entry, job: Arc<Job>) -> Self {
         Self {
+            answer_times: entry.answer_times.clone(),
             burn: entry.burn.clone(),
             clock: entry.clock,
             events: 0,
@@ -119,6 +122,10 @@
         }
         let total = self.elapsed();
         let job = &self.job;
+        let is_cancelled = matches!(outcome, Outcome::Cancelled | Outcome::CancelledLate);
+        if verdict != Verdict::NotRun && !is_cancelled {
+            self.answer_times.record(self.clock.now(), job, total);
+        }
         if let Some(is_good) = outcome.is_good() {
             self.burn.record(job, self.clock.now(), is_good);
         }
--- a/almondwell/src/refusal.rs
+++ b/almondwell/src/refusal.rs
@@ -21,6 +21,8 @@
 
 /// `Retry-After` for a call that failed before it ran.
 const NOT_RUN_RETRY: Duration = Duration::from_secs(1);
+/// `Retry-After` for a call that another entry takes at once.
+const STOPPING_RETRY: Duration = Duration::from_millis(100);
 
 /// Why a caller gets an error response instead of an upstream's answer.
 #[derive(Clone, Debug)]
@@ -75,6 +77,17 @@
         }
     }
 
+    /// A call that was not run, since the entry is stopping and has too little time left for it.
+    pub(crate) fn stopping() -> Self {
+        Self {
+            code: "stopping",
+            ..Self::busy(
+                "the entry is stopping and has too little time left for the request",
+                STOPPING_RETRY,
+            )
+        }
+    }
+
     /// A call that was not run for lack of capacity; the caller may retry after `retry`.
     pub(crate) fn busy(message: impl Into<Box<str>>, retry: Duration) -> Self {
         Self {
--- a/almondwell/src/serve.rs
+++ b/almondwell/src/serve.rs
@@ -1,5 +1,6 @@
 //! `almondwell serve`, the entry daemon.
 
+use crate::drain::EXIT_MARGIN;
 use crate::entry::Entry;
 use crate::{
     admin, configuration, control, instance_list, listener, peers, probe, quarantine, stored,
@@ -7,6 +8,7 @@
 use almondwell_configuration::{gossip, watch};
 use almondwell_daemon::{Command, close_logs, parse, set_up_logs, signals, wait_for_stop};
 use almondwell_schema::EntrySettings;
+use async_std::future::timeout;
 use async_std::net::TcpListener;
 use async_std::task::{self, JoinHandle};
 use eyre::{Result, WrapErr};
@@ -82,13 +84,27 @@
 async fn shut_down(entry: &Entry, accept: JoinHandle<()>) {
     let settings = &entry.settings;
     spdlog::info!("entry is draining", kv: { id = settings.id.as_ref() });
-    entry.drain.begin();
+    let limit = settings.grace.saturating_sub(EXIT_MARGIN);
+    let end = (!settings.grace.is_zero()).then(|| entry.clock.now() + limit);
+    entry.drain.begin(end);
+    let quiet_limit = match end {
+        Some(_) => settings.drain.min(limit.saturating_sub(settings.unready)),
+        None => settings.drain,
+    };
     entry
         .drain
-        .wait_until_quiet(settings.unready, settings.drain)
+        .wait_until_quiet(settings.unready, quiet_limit)
         .await;
     accept.cancel().await;
-    entry.drain.wait_until_closed(settings.drain).await;
-    entry.stored.wait_until_idle().await;
+    entry
+        .drain
+        .wait_until_closed(entry.clock, settings.drain)
+        .await;
+    let idle = entry.stored.wait_until_idle();
+    match entry.drain.left(entry.clock.now()) {
+        // Another entry takes over what is still running.
+        Some(left) => drop(timeout(left, idle).await),
+        None => idle.await,
+    }
     spdlog::info!("entry stopped", kv: { id = settings.id.as_ref() });
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -1,5 +1,6 @@
 //! Decision logic of almondwell, without I/O: callers pass in the time and the source of randomness.
 
+pub mod answer_times;
 pub mod backlog;
 pub mod bands;
 mod binding;
--- a/daemon/src/check.rs
+++ b/daemon/src/check.rs
@@ -77,6 +77,11 @@
             self.slow_window <= self.fast_window.saturating_mul(MAX_WINDOW_RATIO),
             &format!("expected at most {MAX_WINDOW_RATIO} times `fast_window`"),
         );
+        validator.require(
+            "grace",
+            self.grace.is_zero() || self.grace > self.unready,
+            "expected 0s, or more than `unready`",
+        );
         validator.invalid
     }
 }
--- a/router/src/caller.rs
+++ b/router/src/caller.rs
@@ -4,7 +4,7 @@
 use crate::client::Client;
 use crate::dispatch::{self, Outcome};
 use crate::framing::Framing;
-use crate::refusal::Refusal;
+use crate::refusal::{Reason, Refusal};
 use crate::request::{self, Incoming, ReadError, Request};
 use crate::router::Router;
 use almondwell_core::table::Limits;
@@ -78,10 +78,13 @@
     }
     let mut buffer = Buffer::new(stream);
     let mut next = Next::Close;
-    while wait_for_request(router, &mut buffer, client).await {
-        let active = router.drain.start_request();
+    // The caller of a new connection is about to send a request, and cannot know of a shutdown.
+    let mut first = Some(router.drain.start_request());
+    while wait_for_request(router, &mut buffer, client, first.is_some()).await {
+        let active = first.take().unwrap_or_else(|| router.drain.start_request());
         client.start_request();
-        next = match receive(router, &mut buffer, client).await {
+        let received = receive(router, &mut buffer, client);
+        next = match or(received, refused_at_end(router)).await {
             Ok(Received::Complete(request)) => {
                 serve_request(router, &buffer, client, &request).await
             }
@@ -113,6 +116,13 @@
     };
 }
 
+/// Refuses a request that has not been received completely when the router has to end.
+async fn refused_at_end(router: &Router) -> Result<Received, ReadError> {
+    router.drain.finished().await;
+    let refusal = Refusal::retryable(Reason::Stopping, dispatch::stopping_retry_after());
+    Err(ReadError::Refused(refusal, None))
+}
+
 /// A request whose body has been read, or that is refused before.
 enum Received {
     Complete(Request),
@@ -175,7 +185,12 @@
 
 /// Waits for the first byte of a request. Returns `false` when the connection is closed, idle for too long, or
 /// to be closed by a drain or for another connection.
-async fn wait_for_request(router: &Router, buffer: &mut Buffer, client: &Client) -> bool {
+async fn wait_for_request(
+    router: &Router,
+    buffer: &mut Buffer,
+    client: &Client,
+    is_new: bool,
+) -> bool {
     let mut waited = Duration::ZERO;
     while buffer.bytes().is_empty() {
         let limit = limits(router).idle_timeout;
@@ -185,7 +200,14 @@
         };
         let read = async { Some(matches!(buffer.fill().await, Ok(1..))) };
         let closing = async {
-            or(router.drain.idle_closed(), client.evicted()).await;
+            let drained = async {
+                if is_new {
+                    router.drain.finished().await;
+                } else {
+                    router.drain.idle_closed().await;
+                }
+            };
+            or(drained, client.evicted()).await;
             Some(false)
         };
         match timeout(left, or(read, closing)).await {
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -4,7 +4,7 @@
 use crate::client::Client;
 use crate::connection::{Connection, Error};
 use crate::crash::{self, Sign};
-use crate::dispatch::{Admitted, Outcome, Progress, retry_after};
+use crate::dispatch::{Admitted, Outcome, Progress, retry_after, stopping_retry_after};
 use crate::framing::Framing;
 use crate::history::History;
 use crate::refusal::{Reason, Refusal};
@@ -60,6 +60,9 @@
 pub(crate) async fn run(delivery: Delivery<'_>) -> Outcome {
     let mut history = History::new(delivery);
     loop {
+        if !fits_drain(delivery) {
+            return give_up(delivery, history, Reason::Stopping).await;
+        }
         let (backend, view) = match select(delivery, &history) {
             Selection::Selected(backend, view) => (backend, view),
             Selection::Limited if history.sends == 0 => return overload::refuse_limited(delivery),
@@ -133,6 +136,18 @@
     }
 }
 
+/// Whether the request is likely to be answered before the router has to end.
+fn fits_drain(delivery: Delivery<'_>) -> bool {
+    let Delivery {
+        admitted, router, ..
+    } = delivery;
+    let now = router.now();
+    router.drain.left(now).is_none_or(|left| {
+        let mut times = router.lock_answer_times();
+        times.fits(now, &admitted.class(), until_deadline(delivery), left)
+    })
+}
+
 fn is_fatal(delivery: Delivery<'_>) -> bool {
     let Delivery {
         admitted,
@@ -364,8 +379,14 @@
     bytes
 }
 
-/// Time until the request's deadline.
+/// Time until the request's deadline or the end of the router.
 pub(crate) fn remaining(delivery: Delivery<'_>) -> Duration {
+    let router = delivery.router;
+    let left = router.drain.left(router.now());
+    until_deadline(delivery).min(left.unwrap_or(Duration::MAX))
+}
+
+fn until_deadline(delivery: Delivery<'_>) -> Duration {
     delivery
         .admitted
         .deadline
@@ -384,6 +405,9 @@
         return Outcome::Refused(Refusal::failed(502, Reason::UpstreamFailed));
     }
     delivery.progress.set_verdict(Verdict::NotRun);
+    if reason == Reason::Stopping {
+        return Outcome::Refused(Refusal::retryable(reason, stopping_retry_after()));
+    }
     let reason = if history.sends > 0 {
         Reason::UpstreamsFull
     } else {
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -3,11 +3,13 @@
 use crate::backend::Backend;
 use crate::clients::Clients;
 use crate::demand::Demand;
+use crate::dispatch::Class;
 use crate::drain::Drain;
 use crate::duties::Duties;
 use crate::metrics::Metrics;
 use crate::services::Services;
 use crate::usage::Usage;
+use almondwell_core::answer_times::{self, AnswerTimes};
 use almondwell_core::causes::Causes;
 use almondwell_core::fleet::{self, Change, Fleet};
 use almondwell_core::peers::{self, Peers};
@@ -21,7 +23,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// Upstreams that accept requests, by service.
@@ -33,6 +35,8 @@
 
 /// Configuration, upstreams and connections to peers of one router process.
 pub(crate) struct Router {
+    /// Times of recent answers, which decide what a stopping router still begins.
+    answer_times: Mutex<AnswerTimes<Class>>,
     backends: Mutex<BTreeMap<UpstreamId, Arc<Backend>>>,
     pub(crate) clients: Arc<Clients>,
     /// Clock that also counts the time for which the machine is suspended.
@@ -72,6 +76,12 @@
 }
 
 impl Router {
+    pub(crate) fn lock_answer_times(&self) -> MutexGuard<'_, AnswerTimes<Class>> {
+        self.answer_times
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn new(settings: RouterSettings, socket: Socket) -> Self {
         let regions = settings
             .zones
@@ -81,6 +91,7 @@
             .collect();
         let (clock, metrics) = (Clock::start(), Metrics::default());
         Self {
+            answer_times: Mutex::new(AnswerTimes::new(answer_times::Options::default())),
             backends: Mutex::default(),
             boot_clock: BootClock,
             causes: Mutex::default(),
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -21,6 +21,8 @@
 const UNREADY_PERIOD: Duration = Duration::from_secs(3);
 /// Reserve within the grace time for the process to exit.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
+/// Time in which the requests that are still running are answered before the process exits.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
 /// Interval between checks whether the running requests of a draining process have finished.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -92,28 +94,35 @@
 }
 
 /// Reports unready, waits until the load balancer has noticed, then stops accepting connections and waits for
-/// running requests within the grace time.
+/// running requests within the grace time. Those that remain are answered before its end.
 async fn shut_down(router: &Arc<Router>, accept: JoinHandle<()>) {
     let limit = router.settings.grace.saturating_sub(EXIT_MARGIN);
+    let answer_limit = limit.saturating_sub(ANSWER_MARGIN);
+    let start = router.now();
     spdlog::info!("router is draining", kv: {
         id = router.settings.id.as_ref(), active = router.drain.active()
     });
-    router.drain.start();
+    router.drain.start(start + answer_limit);
     let release = task::spawn({
         let router = router.clone();
         async move { duties::stop(&router, limit).await }
     });
-    task::sleep(UNREADY_PERIOD.min(limit)).await;
+    task::sleep(UNREADY_PERIOD.min(answer_limit)).await;
     accept.cancel().await;
     router.drain.close_idle();
-    let mut waited = UNREADY_PERIOD;
-    while router.drain.active() > 0 && waited < limit {
-        task::sleep(DRAIN_POLL_PERIOD).await;
-        waited += DRAIN_POLL_PERIOD;
-    }
+    wait_until_idle(router, start + answer_limit).await;
+    router.drain.finish();
+    wait_until_idle(router, start + limit).await;
     usage::finish(router).await;
     release.await;
     spdlog::info!("router stopped", kv: {
         id = router.settings.id.as_ref(), active = router.drain.active()
     });
 }
+
+/// Waits until no request is running, up to `end`.
+async fn wait_until_idle(router: &Router, end: Duration) {
+    while router.drain.active() > 0 && router.now() < end {
+        task::sleep(DRAIN_POLL_PERIOD).await;
+    }
+}
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -1139,6 +1139,8 @@
     pub drain: Duration,
     /// Time between reporting unready and closing the listener, for balancers to notice.
     pub unready: Duration,
+    /// Time from a stop signal to the kill; 0s if the process is never killed.
+    pub grace: Duration,
 }
 impl Default for EntrySettings {
     fn default() -> Self {
@@ -1166,6 +1168,7 @@
             refresh: crate::parse_default("1s"),
             drain: crate::parse_default("5s"),
             unready: crate::parse_default("1s"),
+            grace: crate::parse_default("0s"),
         }
     }
 }
@@ -1286,6 +1289,11 @@
             default: "1s",
             description: "Time between reporting unready and closing the listener, for balancers to notice.",
         },
+        Key {
+            name: "grace",
+            default: "0s",
+            description: "Time from a stop signal to the kill; 0s if the process is never killed.",
+        },
     ];
     fn set(&mut self, key: &str, value: &str) -> Result<(), Unset> {
         match key {
@@ -1381,6 +1389,10 @@
                 self.unready = <Duration as Setting>::read(value)
                     .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
             }
+            "grace" => {
+                self.grace = <Duration as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
+            }
             _ => return Err(Unset::UnknownKey),
         }
         Ok(())
--- a/tests/tests/stop.rs
+++ b/tests/tests/stop.rs
@@ -7,8 +7,8 @@
 use fakes::http::{self, request};
 use fakes::replacement::Addresses;
 use fakes::set::{Set, Settings, chat_body, wait_ready};
-use futures_lite::AsyncReadExt;
-use http_types::Method;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use http_types::{Method, Request};
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -16,6 +16,8 @@
 use tests::cases;
 
 const STOP_TIMEOUT: Duration = Duration::from_secs(20);
+/// The setting `grace` of entries that have one.
+const GRACE: Duration = Duration::from_secs(4);
 /// Time for a process to handle a signal or a new connection.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
 
@@ -25,6 +27,11 @@
     a_connection_accepted_before_the_shutdown_is_served(one_entry()) = serves_accepted_connection;
     a_keep_alive_connection_gets_its_last_answer_and_is_closed(one_entry()) = closes_keep_alive_connection;
     a_draining_entry_finishes_its_streams(one_entry()) = finishes_streams;
+    // Guards against requests that a stopping entry begins although it will be killed before their answer.
+    a_request_without_time_is_refused_within_the_grace_time(with_grace()) = refuses_late_request;
+    a_body_that_does_not_end_within_the_grace_time_is_refused(with_grace()) = refuses_slow_body;
+    // Guards against requests that are cut without an answer at the end of the grace time.
+    a_request_that_runs_beyond_the_grace_time_is_answered(with_grace()) = answers_long_request;
     a_draining_side_finishes_its_streams_and_grants_no_slot(slow_engines()) = draining_side_finishes_streams;
 }
 
@@ -46,6 +53,14 @@
     }
 }
 
+fn with_grace() -> Settings {
+    let grace = format!("{}s", GRACE.as_secs());
+    Settings {
+        entry_flags: vec![("grace".to_string(), grace)],
+        ..one_entry()
+    }
+}
+
 fn slow_engines() -> Settings {
     Settings {
         engines: 2,
@@ -167,6 +182,76 @@
     Ok(())
 }
 
+/// A chat that takes the engine longer than the grace time.
+fn long_chat(address: SocketAddr) -> Request {
+    let headers = [("Authorization", "Bearer retail-key")];
+    let body = chat_body("hammock", 200, false);
+    request(
+        Method::Post,
+        address,
+        "/v1/chat/completions",
+        &headers,
+        body,
+    )
+}
+
+async fn started(set: &Set) -> Result<Option<u64>> {
+    let records = set.read(set.upstreams[0].address, "/records").await?;
+    Ok(records["started"].as_u64())
+}
+
+fn ends_in_time(set: &mut Set, start: Instant) -> Result<()> {
+    set.entries[0].process.wait(STOP_TIMEOUT)?;
+    let time = start.elapsed();
+    ensure!(time < GRACE, "it ended after {time:?}");
+    Ok(())
+}
+
+/// The connection is accepted before SIGTERM; the request is sent when half of the grace time has passed.
+async fn refuses_late_request(mut set: Set) -> Result<()> {
+    let address = set.entries[0].callers;
+    let tcp = TcpStream::connect(address).await?;
+    task::sleep(SETTLE_TIME).await;
+    let start = Instant::now();
+    set.entries[0].process.signal("TERM")?;
+    task::sleep(GRACE / 2).await;
+    let exchange = async_h1::connect(tcp, long_chat(address));
+    let response = timeout(STOP_TIMEOUT, exchange).await?;
+    let response = response.map_err(|error| eyre!("{error}"))?;
+    ensure!(response.status() == 503, "{}", response.status());
+    let header = |name| response.header(name).map(|values| values.as_str());
+    ensure!(header("Almondwell-Verdict") == Some("not-run"));
+    ensure!(header("Retry-After").is_some());
+    ensure!(started(&set).await? == Some(0), "it was run");
+    ends_in_time(&mut set, start)
+}
+
+async fn refuses_slow_body(mut set: Set) -> Result<()> {
+    let mut tcp = TcpStream::connect(set.entries[0].callers).await?;
+    let part = "POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\nContent-Length: 100\r\n\r\n{";
+    tcp.write_all(part.as_bytes()).await?;
+    task::sleep(SETTLE_TIME).await;
+    let start = Instant::now();
+    set.entries[0].process.signal("TERM")?;
+    let mut answer = String::new();
+    timeout(STOP_TIMEOUT, tcp.read_to_string(&mut answer)).await??;
+    ensure!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    ensure!(answer.contains("stopping"), "{answer}");
+    ends_in_time(&mut set, start)
+}
+
+async fn answers_long_request(mut set: Set) -> Result<()> {
+    let address = set.entries[0].callers;
+    let running = task::spawn(http::call(address, long_chat(address), STOP_TIMEOUT));
+    task::sleep(SETTLE_TIME).await;
+    let start = Instant::now();
+    set.entries[0].process.signal("TERM")?;
+    let answer = running.await?;
+    ensure!(answer.status() == 502, "{}", answer.text());
+    ensure!(answer.header("Almondwell-Verdict") == "may-have-run");
+    ends_in_time(&mut set, start)
+}
+
 /// Sends a request and reads its complete answer; returns the value of its header `Connection`.
 async fn send(tcp: &TcpStream, address: SocketAddr) -> Result<String> {
     let headers = [("Authorization", "Bearer retail-key")];
