Skip interim responses of upstreams behind a side

Callers of `almondwell serve` whose upstream sent 100 or 103 before its answer got that status with the rest of the bytes, the real head among them, as a complete body, and so they did if the head after it broke off.

Cause: the HTTP client takes the first head for the final one. The side now reads heads until one is final; all of them together are bounded by the limit of a head. `almondwell route` skipped them before.

Tests: heads::, four of six red before (`cut at 0: 100`, `status: Continue`, `status: EarlyHints`), six green.

--- a/side/src/reply.rs
+++ b/side/src/reply.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Expects another head after an interim one.
+    pub(crate) fn start_head(&self) {
+        self.lock().matched = 0;
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/side/src/upstream.rs
+++ b/side/src/upstream.rs
@@ -8,7 +8,8 @@
 use crate::{drain, fencing};
 use almondwell_schema::{Chunk, Crash, End, Fault, Head, Header, Reason, Run, Ticket, Verdict};
 use almondwell_wire::{Allowance, Error, Inflow};
-use async_std::io::{BufReader, ReadExt};
+use async_h1::client::{Encoder, decode};
+use async_std::io::{self, BufReader, ReadExt};
 use async_std::net::TcpStream;
 use http_types::{Body, Method, Request, Response, StatusCode};
 use std::time::Duration;
@@ -42,7 +43,7 @@
     tcp.set_nodelay(true)?;
     let allowance = Allowance::new(MAX_HEAD_BYTES);
     let reply = Reply::new(Inflow::new(tcp, allowance.clone()));
-    let response = async_h1::connect(reply.clone(), request(side, run)).await;
+    let response = exchange(&reply, request(side, run)).await;
     allowance.set(MAX_BODY_BYTES);
     match response {
         Ok(response) if is_fenced_off(side, &response) => {
@@ -68,6 +69,18 @@
     }
 }
 
+/// Sends `request` and reads the head of its response, and the interim responses before it.
+async fn exchange(reply: &Reply, request: Request) -> http_types::Result<Response> {
+    io::copy(Encoder::new(request), reply.clone()).await?;
+    loop {
+        let response = decode(reply.clone()).await?;
+        if !response.status().is_informational() {
+            return Ok(response);
+        }
+        reply.start_head();
+    }
+}
+
 fn request(side: &Side, run: &Run) -> Request {
     let url = format!("http://{}{}", side.settings.upstream, run.path);
     let mut request = Request::new(Method::Post, url.as_str());
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod balancer;
 pub mod metrics;
 pub mod publish;
+pub mod raw_engine;
 
 pub use fakes::poll;
 
--- /dev/null
+++ b/tests/tests/heads.rs
@@ -0,0 +1,66 @@
+//! Answers of upstreams whose head breaks off, is preceded by interim responses or has unusual line breaks.
+
+use eyre::{Result, ensure};
+use fakes::set::{Set, Settings};
+use tests::cases;
+use tests::raw_engine::{End, RawEngine, ask};
+
+const INTERIM: &str = "HTTP/1.1 100 Continue\r\n\r\n";
+const HINTS: &str = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+const BODY: &str = "{\"whole\": 1}";
+/// Distance between the places at which a head breaks off.
+const CUT_STEP: usize = 13;
+
+cases! {
+    // Guards against half of a head that reaches the caller as an empty answer.
+    fails_a_head_that_breaks_off(one_engine()) = |set| breaks_off(set, "", End::Close);
+    fails_a_head_that_is_reset(one_engine()) = |set| breaks_off(set, "", End::Reset);
+    fails_a_head_that_breaks_off_after_an_interim_response(one_engine()) = |set| breaks_off(set, INTERIM, End::Close);
+    // Guards against an interim response that is taken for the answer, with the answer as its body.
+    relays_an_answer_after_an_interim_response(one_engine()) = |set| relays(set, [INTERIM, &framed()].concat());
+    relays_an_answer_after_several_interim_responses(one_engine()) = |set| relays(set, [INTERIM, HINTS, &framed()].concat());
+    relays_an_unframed_answer_after_an_interim_response(one_engine()) = |set| relays(set, [HINTS, &unframed()].concat());
+}
+
+fn one_engine() -> Settings {
+    Settings {
+        engines: 1,
+        entries: 1,
+        order_services: 0,
+        ..Settings::default()
+    }
+}
+
+fn framed() -> String {
+    let length = BODY.len();
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{BODY}"
+    )
+}
+
+fn unframed() -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{BODY}")
+}
+
+/// The head breaks off at several places, one after the other.
+async fn breaks_off(mut set: Set, before: &str, end: End) -> Result<()> {
+    let answer = framed();
+    let length = answer.len() - BODY.len();
+    let engine = RawEngine::replace(&mut set, b"", end).await?;
+    for cut in (0..length).step_by(CUT_STEP).chain([length - 1]) {
+        let part = [before, &answer[..cut]].concat();
+        engine.set_answer(part.as_bytes(), end);
+        let (response, body) = ask(&set, false).await?;
+        let status = response.status();
+        ensure!(status.is_server_error(), "cut at {cut}: {status}, {body:?}");
+    }
+    Ok(())
+}
+
+async fn relays(mut set: Set, answer: String) -> Result<()> {
+    RawEngine::replace(&mut set, answer.as_bytes(), End::Close).await?;
+    let (response, body) = ask(&set, false).await?;
+    ensure!(response.status() == 200, "{response:?}, {body:?}");
+    ensure!(body.as_deref() == Some(BODY), "{body:?}");
+    Ok(())
+}
--- a/tests/tests/main.rs
+++ b/tests/tests/main.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod docs;
 mod faults;
+mod heads;
 mod ledger;
 mod membership;
 mod outage;
--- a/tests/tests/unframed.rs
+++ b/tests/tests/unframed.rs
@@ -1,13 +1,9 @@
 //! Answers of upstreams that have neither a length nor chunks and end with their connection.
 
-use async_std::io::{ReadExt, WriteExt};
-use async_std::net::{TcpListener, TcpStream};
-use async_std::task;
 use eyre::{Result, ensure};
-use fakes::http::{open, request};
-use fakes::set::{Set, Settings, chat_body};
-use http_types::{Method, Response};
+use fakes::set::{Set, Settings};
 use tests::cases;
+use tests::raw_engine::{End, RawEngine, ask};
 
 const EVENTS: &str = "data: one\n\ndata: two\n\n";
 
@@ -33,52 +29,9 @@
 
 /// Replaces the set's engine by an upstream that answers each request with `head` and `body` and closes the
 /// connection.
-async fn replace_engine(set: &mut Set, head: &str, body: &str) -> Result<()> {
-    set.upstreams[0].upstream.kill();
-    let listener = TcpListener::bind(set.upstreams[0].address).await?;
+async fn replace_engine(set: &mut Set, head: &str, body: &str) -> Result<RawEngine> {
     let answer = format!("HTTP/1.1 200 OK\r\n{head}\r\n{body}");
-    task::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            let answer = answer.clone();
-            task::spawn(async move { serve(stream, &answer).await });
-        }
-    });
-    Ok(())
-}
-
-/// Answers the first request. Connections without a request, which watch the upstream, stay open.
-async fn serve(mut stream: TcpStream, answer: &str) -> std::io::Result<()> {
-    let mut received = Vec::new();
-    let mut buffer = [0; 4096];
-    while !received.ends_with(b"}") {
-        let count = stream.read(&mut buffer).await?;
-        if count == 0 {
-            return Ok(());
-        }
-        received.extend_from_slice(&buffer[..count]);
-    }
-    stream.write_all(answer.as_bytes()).await
-}
-
-async fn ask(set: &Set, stream: bool) -> Result<Response> {
-    let headers = [
-        ("Authorization", "Bearer retail-key"),
-        ("Almondwell-Class", "summary"),
-        ("Content-Type", "application/json"),
-    ];
-    let address = set.entries[0].callers;
-    let body = chat_body("unframed", 3, stream);
-    open(
-        address,
-        request(
-            Method::Post,
-            address,
-            "/v1/chat/completions",
-            &headers,
-            body,
-        ),
-    )
-    .await
+    RawEngine::replace(set, answer.as_bytes(), End::Close).await
 }
 
 async fn relays_dateless(mut set: Set) -> Result<()> {
@@ -88,9 +41,8 @@
         body.len()
     );
     replace_engine(&mut set, &head, body).await?;
-    let mut response = ask(&set, false).await?;
-    let received = response.body_string().await;
-    ensure!(received.as_deref().ok() == Some(body), "{received:?}");
+    let (_, received) = ask(&set, false).await?;
+    ensure!(received.as_deref() == Some(body), "{received:?}");
     Ok(())
 }
 
@@ -101,19 +53,17 @@
         "{\"whole\": 1}",
     )
     .await?;
-    let mut response = ask(&set, false).await?;
-    let body = response.body_string().await;
+    let (response, body) = ask(&set, false).await?;
     ensure!(response.status() == 200, "{response:?}");
-    ensure!(body.as_deref().ok() == Some("{\"whole\": 1}"), "{body:?}");
+    ensure!(body.as_deref() == Some("{\"whole\": 1}"), "{body:?}");
     Ok(())
 }
 
 async fn relays_stream(mut set: Set) -> Result<()> {
     replace_engine(&mut set, "Content-Type: text/event-stream\r\n", EVENTS).await?;
-    let mut response = ask(&set, true).await?;
-    let body = response.body_string().await;
+    let (response, body) = ask(&set, true).await?;
     ensure!(response.status() == 200, "{response:?}");
-    ensure!(body.as_deref().ok() == Some(EVENTS), "{body:?}");
+    ensure!(body.as_deref() == Some(EVENTS), "{body:?}");
     Ok(())
 }
 
@@ -127,8 +77,7 @@
     };
     let head = format!("Content-Type: text/event-stream\r\n{encoding}");
     replace_engine(&mut set, &head, &body).await?;
-    let mut response = ask(&set, true).await?;
-    let body = response.body_string().await;
-    ensure!(response.status() != 200 || body.is_err(), "{body:?}");
+    let (response, body) = ask(&set, true).await?;
+    ensure!(response.status() != 200 || body.is_none(), "{body:?}");
     Ok(())
 }
