Keep the verdict of earlier attempts when a retry cannot begin

Callers of `almondwell serve` got 503 and the verdict not-run for a request that an upstream had begun: its first attempt ran into the deadline, the retry that an idempotent class allows found no place, and its refusal was the answer of the whole.

Cause: dispatch returned the last refusal as it was. It now raises the verdict to that of the earlier attempts, as calls that run at most once did before (`Refusal::after`, moved from once.rs).

Test: heads::fails_a_head_that_stops, red in 4 of 4 runs before (`not-run, the deadline passed while the request waited for a place`), green after.

--- a/almondwell/src/dispatch.rs
+++ b/almondwell/src/dispatch.rs
@@ -21,16 +21,19 @@
     }
     entry.budgets.earn(job);
     let mut attempt = 1;
+    let mut verdict = Verdict::NotRun;
     loop {
-        let (side, ticket) = reserve(entry, job).await?;
+        let reserved = reserve(entry, job).await;
+        let (side, ticket) = reserved.map_err(|refusal| refusal.after(verdict))?;
         let wait = entry.clock.now().saturating_sub(job.arrived);
         entry.metrics.observe_grant_wait(job, wait);
         match call::run(entry, job, side, ticket).await {
             Ok(answer) => return Ok(answer),
             Err(refusal) if attempt < MAX_ATTEMPTS && may_retry(entry, job, &refusal) => {
                 attempt += 1;
+                verdict = verdict.max(refusal.verdict);
             }
-            Err(refusal) => return Err(refusal),
+            Err(refusal) => return Err(refusal.after(verdict)),
         }
     }
 }
--- a/almondwell/src/once.rs
+++ b/almondwell/src/once.rs
@@ -44,7 +44,7 @@
     let mut rank = 0;
     while let Some(remaining) = remaining(entry, job) {
         if let Err(refusal) = availability::wait(entry, &job.service.pool, remaining).await {
-            return Err(with_worst_verdict(verdict, refusal));
+            return Err(refusal.after(verdict));
         }
         let sides = ranked_sides(entry, job);
         let Some(side) = sides.get(rank % sides.len().max(1)).copied() else {
@@ -59,7 +59,7 @@
             Err(refusal) => refusal,
         };
         if is_final(&refusal) {
-            return Err(with_worst_verdict(verdict, refusal));
+            return Err(refusal.after(verdict));
         }
         if refusal.verdict == Verdict::NotRun && refusal.code != SLOT_EXPIRED {
             rank += 1;
@@ -68,7 +68,7 @@
         last = refusal;
         task::sleep(RETRY_DELAY).await;
     }
-    Err(with_worst_verdict(verdict, last))
+    Err(last.after(verdict))
 }
 
 fn remaining(entry: &Entry, job: &Job) -> Option<Duration> {
@@ -83,17 +83,6 @@
         || [LEDGER_FULL, INTERRUPTED, STORE_DOWN].contains(&refusal.code)
 }
 
-/// Raises the verdict of `refusal` to `verdict` if an earlier attempt may have run.
-fn with_worst_verdict(verdict: Verdict, refusal: Refusal) -> Refusal {
-    if refusal.verdict >= verdict {
-        return refusal;
-    }
-    Refusal {
-        verdict,
-        ..Refusal::failed(verdict, refusal.message)
-    }
-}
-
 /// Addresses of the pool's sides, the holder of the job's key first and those that do not answer
 /// last.
 fn ranked_sides(entry: &Entry, job: &Job) -> Vec<SocketAddr> {
--- a/almondwell/src/refusal.rs
+++ b/almondwell/src/refusal.rs
@@ -112,6 +112,14 @@
         }
     }
 
+    /// The refusal of a request whose earlier attempts had `verdict`, which it raises its own to.
+    pub(crate) fn after(self, verdict: Verdict) -> Self {
+        if self.verdict >= verdict {
+            return self;
+        }
+        Self::failed(verdict, self.message)
+    }
+
     /// Builds the response, with a body in the format of `OpenAI`'s errors.
     pub(crate) fn response(&self, request: RequestId) -> Response {
         let kind = if self.status.is_client_error() {
--- a/tests/tests/heads.rs
+++ b/tests/tests/heads.rs
@@ -16,6 +16,8 @@
     fails_a_head_that_breaks_off(one_engine()) = |set| breaks_off(set, "", End::Close);
     fails_a_head_that_is_reset(one_engine()) = |set| breaks_off(set, "", End::Reset);
     fails_a_head_that_breaks_off_after_an_interim_response(one_engine()) = |set| breaks_off(set, INTERIM, End::Close);
+    // Guards against the verdict "not run" after an attempt that may have run, where the next one could not begin.
+    fails_a_head_that_stops(one_engine()) = stops;
     // Guards against an interim response that is taken for the answer, with the answer as its body.
     relays_an_answer_after_an_interim_response(one_engine()) = |set| relays(set, [INTERIM, &framed()].concat());
     relays_an_answer_after_several_interim_responses(one_engine()) = |set| relays(set, [INTERIM, HINTS, &framed()].concat());
@@ -42,6 +44,20 @@
     format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{BODY}")
 }
 
+async fn fails(mut set: Set, answer: &str, end: End) -> Result<()> {
+    RawEngine::replace(&mut set, answer.as_bytes(), end).await?;
+    let (response, body) = ask(&set, false).await?;
+    let status = response.status();
+    ensure!(status.is_server_error(), "{status}, {body:?}");
+    let verdict = response.header("Almondwell-Verdict");
+    let verdict = verdict.map(|values| values.as_str());
+    ensure!(
+        verdict == Some("may-have-run"),
+        "{verdict:?}, {status}, {body:?}"
+    );
+    Ok(())
+}
+
 /// The head breaks off at several places, one after the other.
 async fn breaks_off(mut set: Set, before: &str, end: End) -> Result<()> {
     let answer = framed();
@@ -57,6 +73,10 @@
     Ok(())
 }
 
+async fn stops(set: Set) -> Result<()> {
+    fails(set, "HTTP/1.1 200 OK\r\nContent-Le", End::Silence).await
+}
+
 async fn relays(mut set: Set, answer: String) -> Result<()> {
     RawEngine::replace(&mut set, answer.as_bytes(), End::Close).await?;
     let (response, body) = ask(&set, false).await?;
