Check an upstream behind a side before its unframed answer counts as complete

Callers of `almondwell serve` got 200 with half of a body, or an empty one, framed as whole, when their upstream was killed in an answer without a length: the system closes the connections of a killed process like those of one that has finished.

Cause: the end of the connection was taken for the end of the answer.

Tests: heads::fails_an_unframed_answer_whose_upstream_is_killed and fails_an_empty_answer_whose_upstream_is_killed, red before (200 with `{"whole":` and with nothing), green after; unframed::, 5 of 5.

--- a/side/src/health.rs
+++ b/side/src/health.rs
@@ -99,6 +99,11 @@
     }
 }
 
+/// Whether the upstream accepts a new connection and keeps it open.
+pub(crate) async fn is_alive(side: &Side) -> bool {
+    connect(side).await.is_some()
+}
+
 async fn connect(side: &Side) -> Option<TcpStream> {
     let connect = TcpStream::connect(side.settings.upstream);
     let tcp = timeout(CONNECT_TIMEOUT, connect).await.ok()?.ok()?;
--- a/side/src/upstream.rs
+++ b/side/src/upstream.rs
@@ -5,7 +5,7 @@
 use crate::reply::Reply;
 use crate::side::Side;
 use crate::sink::Sink;
-use crate::{drain, fencing};
+use crate::{drain, fencing, health};
 use almondwell_schema::{Chunk, Crash, End, Fault, Head, Header, Reason, Run, Ticket, Verdict};
 use almondwell_wire::{Allowance, Error, Inflow};
 use async_h1::client::{Encoder, decode};
@@ -118,6 +118,7 @@
     mut response: Response,
 ) -> Result<(), Error> {
     let expected = response.len();
+    let is_unframed = is_unframed(&response);
     let mut ending = Ending::of(&response);
     sink.write(&head(&response).into()).await?;
     let mut length = 0;
@@ -146,6 +147,11 @@
         side.metrics.upstream_failures.inc();
         return fail_interrupted(admission, sink, "stream ended inside an event").await;
     }
+    // The system of a killed upstream closes its connections in the same way.
+    if is_unframed && !health::is_alive(side).await {
+        side.metrics.upstream_failures.inc();
+        return fail_interrupted(admission, sink, "upstream ended with its answer").await;
+    }
     admission.record_success();
     sink.write(&End { length }.into()).await
 }
--- a/tests/tests/heads.rs
+++ b/tests/tests/heads.rs
@@ -22,6 +22,9 @@
     relays_an_answer_after_an_interim_response(one_engine()) = |set| relays(set, [INTERIM, &framed()].concat());
     relays_an_answer_after_several_interim_responses(one_engine()) = |set| relays(set, [INTERIM, HINTS, &framed()].concat());
     relays_an_unframed_answer_after_an_interim_response(one_engine()) = |set| relays(set, [HINTS, &unframed()].concat());
+    // Guards against half of an answer of a killed upstream that reaches the caller as complete.
+    fails_an_unframed_answer_whose_upstream_is_killed(one_engine()) = |set| is_killed(set, "{\"whole\":");
+    fails_an_empty_answer_whose_upstream_is_killed(one_engine()) = |set| is_killed(set, "");
 }
 
 fn one_engine() -> Settings {
@@ -84,3 +87,8 @@
     ensure!(body.as_deref() == Some(BODY), "{body:?}");
     Ok(())
 }
+
+async fn is_killed(set: Set, part: &str) -> Result<()> {
+    let answer = unframed().replace(BODY, part);
+    fails(set, &answer, End::Kill).await
+}
