Recognise heads with bare line feeds behind a side

Callers of `almondwell serve` got 200 and an empty body, framed as whole, when the head of an answer without a length ended with bare line feeds, which the HTTP client accepts.

Cause: the side looked for CRLF CRLF to keep the client from reading beyond the head. It did not find it, the client buffered the body with the head and dropped it. The side now knows both ends that the client knows, and rejects a head that ends with LF CR LF, which the client would read beyond.

--- a/side/src/reply.rs
+++ b/side/src/reply.rs
@@ -7,35 +7,38 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 
-const END_OF_HEAD: &[u8] = b"\r\n\r\n";
 const READ_BYTES: usize = 16 << 10;
 
 #[derive(Debug, Default)]
 struct State {
     /// Bytes received and not yet read.
     buffer: Vec<u8>,
-    /// Number of bytes of [`END_OF_HEAD`] that were read last; all of them after the head.
-    matched: usize,
+    is_head_read: bool,
+    /// The last bytes of the head that were read.
+    last: [u8; 4],
 }
 
 impl State {
     /// Moves bytes to `out`, at most up to the end of the head; returns their number.
-    fn take(&mut self, out: &mut [u8]) -> usize {
+    fn take(&mut self, out: &mut [u8]) -> io::Result<usize> {
         let mut count = out.len().min(self.buffer.len());
-        if self.matched < END_OF_HEAD.len() {
+        if !self.is_head_read {
             let end = self.buffer[..count].iter().position(|byte| {
-                self.matched = match byte {
-                    byte if *byte == END_OF_HEAD[self.matched] => self.matched + 1,
-                    b'\r' => 1,
-                    _ => 0,
-                };
-                self.matched == END_OF_HEAD.len()
+                self.last.rotate_left(1);
+                self.last[3] = *byte;
+                self.last.ends_with(b"\n\n") || self.last.ends_with(b"\n\r\n")
             });
+            self.is_head_read = end.is_some();
             count = end.map_or(count, |index| index + 1);
+            // The HTTP client does not recognise this end, and would read on.
+            if self.last.ends_with(b"\n\r\n") && self.last != *b"\r\n\r\n" {
+                let message = "the head ends with line breaks of both kinds";
+                return Err(io::Error::new(io::ErrorKind::InvalidData, message));
+            }
         }
         out[..count].copy_from_slice(&self.buffer[..count]);
         self.buffer.drain(..count);
-        count
+        Ok(count)
     }
 }
 
@@ -57,7 +60,9 @@
 
     /// Expects another head after an interim one.
     pub(crate) fn start_head(&self) {
-        self.lock().matched = 0;
+        let mut state = self.lock();
+        state.is_head_read = false;
+        state.last = [0; 4];
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -77,7 +82,7 @@
             let count = ready!(Pin::new(&mut this.inflow).poll_read(context, &mut chunk))?;
             this.lock().buffer.extend_from_slice(&chunk[..count]);
         }
-        Poll::Ready(Ok(this.lock().take(out)))
+        Poll::Ready(this.lock().take(out))
     }
 }
 
--- a/tests/tests/heads.rs
+++ b/tests/tests/heads.rs
@@ -22,6 +22,10 @@
     relays_an_answer_after_an_interim_response(one_engine()) = |set| relays(set, [INTERIM, &framed()].concat());
     relays_an_answer_after_several_interim_responses(one_engine()) = |set| relays(set, [INTERIM, HINTS, &framed()].concat());
     relays_an_unframed_answer_after_an_interim_response(one_engine()) = |set| relays(set, [HINTS, &unframed()].concat());
+    // Guards against the start of a body that is lost with a head of bare line feeds.
+    relays_an_unframed_answer_with_bare_line_feeds(one_engine()) = |set| relays(set, unframed().replace("\r\n", "\n"));
+    relays_an_unframed_answer_with_a_bare_last_line_feed(one_engine()) = |set| relays(set, unframed().replace("\r\n\r\n", "\r\n\n"));
+    fails_an_unframed_answer_with_mixed_line_breaks(one_engine()) = mixes_line_breaks;
     // Guards against half of an answer of a killed upstream that reaches the caller as complete.
     fails_an_unframed_answer_whose_upstream_is_killed(one_engine()) = |set| is_killed(set, "{\"whole\":");
     fails_an_empty_answer_whose_upstream_is_killed(one_engine()) = |set| is_killed(set, "");
@@ -88,6 +92,11 @@
     Ok(())
 }
 
+async fn mixes_line_breaks(set: Set) -> Result<()> {
+    let answer = unframed().replace("json\r\n\r\n", "json\n\r\n");
+    fails(set, &answer, End::Close).await
+}
+
 async fn is_killed(set: Set, part: &str) -> Result<()> {
     let answer = unframed().replace(BODY, part);
     fails(set, &answer, End::Kill).await
