--- a/tests/src/raw_engine.rs
+++ b/tests/src/raw_engine.rs
@@ -12,9 +12,12 @@
 use http_types::{Method, Response};
 use socket2::SockRef;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+/// Bytes written at once of those that have no end.
+const BATCH_BYTES: usize = 32 << 10;
 /// Time within which each answer has to end; longer than the deadline of the requests.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -23,6 +26,8 @@
 pub enum End {
     /// It closes the connection.
     Close,
+    /// It sends these bytes again and again.
+    Endless(&'static str),
     /// It stops listening and closes the connection, as the system of a killed process does.
     Kill,
     /// It resets the connection.
@@ -97,6 +102,12 @@
     stream.write_all(&bytes).await?;
     match end {
         End::Close => {}
+        End::Endless(piece) => {
+            let batch = piece.repeat(BATCH_BYTES / piece.len());
+            loop {
+                stream.write_all(batch.as_bytes()).await?;
+            }
+        }
         End::Kill => {
             open.close();
             // The listener is closed before the connection.
@@ -111,13 +122,17 @@
 /// Sends a chat, as a stream or not, with a deadline of 2 s. Returns the response and its body, which is `None` if it is
 /// incomplete.
 pub async fn ask(set: &Set, stream: bool) -> Result<(Response, Option<String>)> {
+    ask_at(set.entries[0].callers, stream).await
+}
+
+/// As [`ask`], of the entry at `address`.
+pub async fn ask_at(address: SocketAddr, stream: bool) -> Result<(Response, Option<String>)> {
     let headers = [
         ("Authorization", "Bearer retail-key"),
         ("Almondwell-Class", "summary"),
         ("Almondwell-Deadline", "2s"),
         ("Content-Type", "application/json"),
     ];
-    let address = set.entries[0].callers;
     let chat = chat_body("raw", 3, stream);
     let path = "/v1/chat/completions";
     let request = request(Method::Post, address, path, &headers, chat);
--- a/tests/tests/main.rs
+++ b/tests/tests/main.rs
@@ -5,6 +5,7 @@
 mod cli;
 mod configuration;
 mod docs;
+mod endless;
 mod faults;
 mod heads;
 mod ledger;
