Replace the active configuration by compare and swap

Two threads, the watch of the store and a fetch from another entry, compared versions and stored their tables in two steps, so that an older table could stay in force until the next change; named by the review, not seen by anybody. The table and its JSON are one value now, replaced only by a newer one.

--- a/router/src/fetches.rs
+++ b/router/src/fetches.rs
@@ -215,11 +215,12 @@
     let Some(_slot) = served.take() else {
         return Ok("busy");
     };
-    let version = router.table().map_or(0, |table| table.version);
-    let raw_table = router.raw_table().filter(|_| version > ask.version);
+    let active = router.active();
+    let version = active.as_ref().map_or(0, |active| active.table.version);
+    let newer = active.filter(|_| version > ask.version);
     let held = Held {
         version,
-        table: raw_table.map_or_else(Vec::new, |table| table.to_vec()),
+        table: newer.map_or_else(Vec::new, |active| active.raw.clone()),
         revision: router.revision(),
         upstreams: router.upstreams().into_iter().map(registration).collect(),
     };
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! An entry is one router process. An engine is an upstream that runs a language model.
 
+pub mod active;
 mod backend;
 mod body;
 mod buffer;
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -1,5 +1,6 @@
 //! State of a router process, shared by all connections.
 
+use crate::active::{Active, Configuration};
 use crate::backend::Backend;
 use crate::clients::Clients;
 use crate::demand::Demand;
@@ -20,7 +21,7 @@
 use almondwell_platform::{Objects, Store};
 use almondwell_schema::{Digest, RouterSettings};
 use almondwell_wire::Socket;
-use arc_swap::{ArcSwap, ArcSwapOption};
+use arc_swap::ArcSwap;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -35,6 +36,7 @@
 
 /// Configuration, upstreams and connections to peers of one router process.
 pub(crate) struct Router {
+    active: Active,
     /// Times of recent answers, which decide what a stopping router still begins.
     answer_times: Mutex<AnswerTimes<Class>>,
     backends: Mutex<BTreeMap<UpstreamId, Arc<Backend>>>,
@@ -69,9 +71,6 @@
     pub(crate) store: Store,
     /// Store revision that the list of upstreams reflects.
     revision: AtomicU64,
-    table: ArcSwapOption<Table>,
-    /// The table as JSON from the store, for entries that cannot reach the store.
-    raw_table: ArcSwapOption<Vec<u8>>,
     pub(crate) usage: Usage,
 }
 
@@ -91,6 +90,7 @@
             .collect();
         let (clock, metrics) = (Clock::start(), Metrics::default());
         Self {
+            active: Active::default(),
             answer_times: Mutex::new(AnswerTimes::new(answer_times::Options::default())),
             backends: Mutex::default(),
             boot_clock: BootClock,
@@ -123,8 +123,6 @@
             usage: Usage::new(&settings),
             settings,
             revision: AtomicU64::new(0),
-            table: ArcSwapOption::empty(),
-            raw_table: ArcSwapOption::empty(),
         }
     }
 
@@ -134,7 +132,7 @@
 
     /// The active configuration, if one has been read.
     pub(crate) fn table(&self) -> Option<Arc<Table>> {
-        self.table.load_full()
+        self.active.load().map(|active| active.table.clone())
     }
 
     /// Whether the configuration is known to be the latest.
@@ -154,30 +152,27 @@
     }
 
     /// Activates a table if its version is newer than the active one's. `source` is logged.
-    pub(crate) fn adopt(&self, table: Table, raw_table: Vec<u8>, source: &str) {
-        let current_version = self.table().map(|table| table.version);
-        let outcome = if current_version.is_some_and(|current| current >= table.version) {
-            "kept"
-        } else {
-            "adopted"
-        };
+    pub(crate) fn adopt(&self, table: Table, raw: Vec<u8>, source: &str) {
+        let table = Arc::new(table);
+        let held = self.active.adopt(Configuration {
+            raw,
+            table: table.clone(),
+        });
+        let is_kept = held.is_some_and(|held| held >= table.version);
         spdlog::info!("configuration read", kv: {
-            source, version = table.version, held = current_version.unwrap_or(0),
-            routes = table.len(), keys = table.keys().len(), outcome
+            source, version = table.version, held = held.unwrap_or(0),
+            routes = table.len(), keys = table.keys().len(),
+            outcome = if is_kept { "kept" } else { "adopted" }
         });
-        if outcome == "kept" {
-            return;
+        if !is_kept {
+            let version = i64::try_from(table.version).unwrap_or(i64::MAX);
+            self.metrics.table_version.set(version);
         }
-        self.metrics
-            .table_version
-            .set(i64::try_from(table.version).unwrap_or(i64::MAX));
-        self.raw_table.store(Some(Arc::new(raw_table)));
-        self.table.store(Some(Arc::new(table)));
     }
 
-    /// The active table as JSON from the store.
-    pub(crate) fn raw_table(&self) -> Option<Arc<Vec<u8>>> {
-        self.raw_table.load_full()
+    /// The active configuration with its JSON, if one has been read.
+    pub(crate) fn active(&self) -> Option<Arc<Configuration>> {
+        self.active.load()
     }
 
     /// Store revision that the list of upstreams reflects.
@@ -202,7 +197,7 @@
 
     /// Whether the router is not draining, has a configuration and knows an upstream that accepts requests.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.drain.is_draining() && self.table.load().is_some() && !self.ready.load().is_empty()
+        !self.drain.is_draining() && self.active.load().is_some() && !self.ready.load().is_empty()
     }
 
     /// Applies `change` to the fleet, logs what changed and publishes the new list of backends.
