Wait until both sides are known before one of them leaves in a test

Cause: a fault of the test. It waited in availability::wait, which lets requests wait for the successor of the last known side. The instance list lags by 2 s, and the test only waited until the first side was known; when that left, the entry knew no other.

The test now waits until both have run a request.

--- a/tests/tests/membership.rs
+++ b/tests/tests/membership.rs
@@ -162,7 +162,10 @@
 }
 
 async fn draining_side_gets_no_work(set: Set) -> Result<()> {
-    until_started(&set, 0, LAG * 3).await?;
+    // The list may show one side before the other. A request waits while the only known one has left.
+    for index in 0..set.upstreams.len() {
+        until_started(&set, index, LAG * 3).await?;
+    }
     let engine = set.upstreams[0].address;
     let stream = open_streams(&set, engine).await?;
     set.upstreams[0].side.signal("TERM")?;
