Log slots that are granted late

A request of `almondwell serve` that waits left no trace of why. `slot granted late` tells the sides asked, their replies and the waits without one; a wait without any of them was one for a side of the pool.

--- a/almondwell/src/reserve.rs
+++ b/almondwell/src/reserve.rs
@@ -36,6 +36,7 @@
             Ok(Err(_)) | Err(_) => search.handle_timeout()?,
         };
         if let Some(grant) = search.apply(step, &waiter).await? {
+            search.log_late();
             return Ok(grant);
         }
     }
@@ -54,6 +55,17 @@
     granted: Option<SocketAddr>,
     /// Sides asked so far, in all rounds.
     asked: Vec<SocketAddr>,
+    replies: Replies,
+    start: Duration,
+}
+
+/// Numbers of replies to reservations.
+#[derive(Clone, Copy, Debug, Default)]
+struct Replies {
+    queued: u32,
+    refused: u32,
+    /// Waits that ended without a reply.
+    timeouts: u32,
 }
 
 impl<'a> Search<'a> {
@@ -68,6 +80,8 @@
             limit: REPLY_TIMEOUT,
             granted: None,
             asked: Vec::new(),
+            replies: Replies::default(),
+            start: entry.clock.now(),
         }
     }
 
@@ -102,6 +116,7 @@
         match datagram {
             Datagram::Grant(grant) => Step::Run(from, grant.ticket),
             Datagram::Queued(queued) => {
+                self.replies.queued += 1;
                 self.limit = REPEAT_PERIOD;
                 let Ok(directory) = self.directory() else {
                     return Step::Wait;
@@ -135,6 +150,7 @@
     }
 
     fn refused(&mut self, refuse: &Refuse, from: SocketAddr) -> Step<SocketAddr> {
+        self.replies.refused += 1;
         self.is_overloaded &= matches!(refuse.reason, Reason::Full | Reason::Late);
         let Ok(directory) = self.directory() else {
             return Step::Wait;
@@ -154,6 +170,7 @@
 
     /// Repeats the reservations and asks other sides in place of those that did not reply.
     fn handle_timeout(&mut self) -> Result<Step<SocketAddr>, Refusal> {
+        self.replies.timeouts += 1;
         let directory = self.directory()?;
         Ok(Step::Ask(self.binding.renew(&mut rand::rng(), &directory)))
     }
@@ -187,6 +204,23 @@
         Ok(None)
     }
 
+    /// Logs a grant that took longer than a reply.
+    fn log_late(&self) {
+        let wait = self.entry.clock.now().saturating_sub(self.start);
+        if wait < REPLY_TIMEOUT {
+            return;
+        }
+        let Replies {
+            queued,
+            refused,
+            timeouts,
+        } = self.replies;
+        spdlog::info!("slot granted late", kv: {
+            request = format!("{:032x}", self.job.request), wait_ms = wait.as_millis(),
+            asked = self.asked.len(), queued, refused, timeouts
+        });
+    }
+
     async fn ask(&mut self, sides: &[SocketAddr]) {
         let now = self.entry.clock.now();
         let copies = self.binding.copies();
--- a/core/src/answer_times.rs
+++ b/core/src/answer_times.rs
@@ -7,7 +7,7 @@
 /// Parameters of [`AnswerTimes`].
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
-    /// Answers of a class from which its times are relied on.
+    /// Number of answers from which the times of a class are used.
     pub min_answers: u64,
     /// Share of the recent answers of a class that were no longer than its expected time.
     pub quantile: f64,
