--- a/router/src/caller.rs
+++ b/router/src/caller.rs
@@ -7,6 +7,7 @@
 use crate::refusal::{Reason, Refusal};
 use crate::request::{self, Incoming, ReadError, Request};
 use crate::router::Router;
+use crate::stopping;
 use almondwell_core::table::Limits;
 use almondwell_platform::{limit_send_buffer, reset_on_close};
 use almondwell_wire::Turn;
@@ -119,7 +120,7 @@
 /// Refuses a request that has not been received completely when the router has to end.
 async fn refused_at_end(router: &Router) -> Result<Received, ReadError> {
     router.drain.finished().await;
-    let refusal = Refusal::retryable(Reason::Stopping, dispatch::stopping_retry_after());
+    let refusal = Refusal::retryable(Reason::Stopping, stopping::retry_after());
     Err(ReadError::Refused(refusal, None))
 }
 
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -4,7 +4,7 @@
 use crate::client::Client;
 use crate::connection::{Connection, Error};
 use crate::crash::{self, Sign};
-use crate::dispatch::{Admitted, Outcome, Progress, retry_after, stopping_retry_after};
+use crate::dispatch::{Admitted, Outcome, Progress, retry_after};
 use crate::framing::Framing;
 use crate::history::History;
 use crate::refusal::{Reason, Refusal};
@@ -13,7 +13,7 @@
 use crate::response::Head;
 use crate::router::Router;
 use crate::selection::{Selection, select};
-use crate::{overload, send_log, usage};
+use crate::{overload, send_log, stopping, usage};
 use almondwell_core::table::Retry;
 use almondwell_platform::headers::{self, Envelope, Phase};
 use almondwell_schema::Verdict;
@@ -60,7 +60,7 @@
 pub(crate) async fn run(delivery: Delivery<'_>) -> Outcome {
     let mut history = History::new(delivery);
     loop {
-        if !fits_drain(delivery) {
+        if !stopping::has_time(delivery) {
             return give_up(delivery, history, Reason::Stopping).await;
         }
         let (backend, view) = match select(delivery, &history) {
@@ -136,18 +136,6 @@
     }
 }
 
-/// Whether the request is likely to be answered before the router has to end.
-fn fits_drain(delivery: Delivery<'_>) -> bool {
-    let Delivery {
-        admitted, router, ..
-    } = delivery;
-    let now = router.now();
-    router.drain.left(now).is_none_or(|left| {
-        let mut times = router.lock_answer_times();
-        times.fits(now, &admitted.class(), until_deadline(delivery), left)
-    })
-}
-
 fn is_fatal(delivery: Delivery<'_>) -> bool {
     let Delivery {
         admitted,
@@ -386,7 +374,8 @@
     until_deadline(delivery).min(left.unwrap_or(Duration::MAX))
 }
 
-fn until_deadline(delivery: Delivery<'_>) -> Duration {
+/// Time until the request's deadline.
+pub(crate) fn until_deadline(delivery: Delivery<'_>) -> Duration {
     delivery
         .admitted
         .deadline
@@ -406,7 +395,7 @@
     }
     delivery.progress.set_verdict(Verdict::NotRun);
     if reason == Reason::Stopping {
-        return Outcome::Refused(Refusal::retryable(reason, stopping_retry_after()));
+        return Outcome::Refused(Refusal::retryable(reason, stopping::retry_after()));
     }
     let reason = if history.sends > 0 {
         Reason::UpstreamsFull
--- a/router/src/dispatch.rs
+++ b/router/src/dispatch.rs
@@ -7,7 +7,7 @@
 use crate::refusal::{Reason, Refusal};
 use crate::request::Request;
 use crate::router::{Router, milliseconds};
-use crate::usage;
+use crate::{stopping, usage};
 use almondwell_core::hash;
 use almondwell_core::table::{Rank, Route, Table, Workspace};
 use almondwell_daemon::disconnected;
@@ -24,10 +24,6 @@
 /// Default range of the `Retry-After` time.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(900));
 
-/// Range of the `Retry-After` time of a stopping router.
-const STOPPING_RETRY_AFTER: (Duration, Duration) =
-    (Duration::from_millis(50), Duration::from_millis(150));
-
 /// Range of the `Retry-After` time under overload, as a share of the time until the request's deadline.
 const OVERLOAD_RETRY_AFTER: (f64, f64) = (0.15, 0.33);
 
@@ -59,15 +55,6 @@
     pub(crate) workspace: Option<Arc<Workspace>>,
 }
 
-/// Requests whose answers take similar times: their service, latency target and target gap.
-pub(crate) type Class = (Box<str>, Duration, Option<Duration>);
-
-impl Admitted {
-    pub(crate) fn class(&self) -> Class {
-        (self.service.clone(), self.route.target, self.route.gap)
-    }
-}
-
 /// State of a request, shared by its delivery and the deadline and disconnect handlers that run concurrently.
 #[derive(Default)]
 pub(crate) struct Progress {
@@ -209,7 +196,7 @@
         or(or(deadline_exceeded, stopped), caller_closed),
     )
     .await;
-    record_time(delivery, start, outcome);
+    stopping::record_time(delivery, start, outcome);
     usage::record_end(delivery);
     check_holder(delivery);
     log(router, request, Some(&admitted), &progress, outcome);
@@ -233,24 +220,6 @@
     remaining.mul_f64(rand::rng().random_range(OVERLOAD_RETRY_AFTER.0..OVERLOAD_RETRY_AFTER.1))
 }
 
-/// Records how long the answer of a request took that began at `start`, unless the request was not run or its caller left.
-fn record_time(delivery: Delivery<'_>, start: Duration, outcome: Outcome) {
-    let has_run = match outcome {
-        Outcome::Answered { .. } | Outcome::Truncated => true,
-        Outcome::CallerClosed => false,
-        Outcome::Refused(refusal) => refusal.verdict != Verdict::NotRun,
-    };
-    if has_run {
-        let now = delivery.router.now();
-        let time = now.saturating_sub(start);
-        let class = delivery.admitted.class();
-        delivery
-            .router
-            .lock_answer_times()
-            .record(now, &class, time);
-    }
-}
-
 /// Outcome of a request that is ended before its answer is complete.
 fn end_early(progress: &Progress, reason: Reason) -> Outcome {
     if progress.has_started() {
@@ -262,11 +231,6 @@
     }
 }
 
-/// Random `Retry-After` time of a stopping router: other entries take the request at once.
-pub(crate) fn stopping_retry_after() -> Duration {
-    rand::rng().random_range(STOPPING_RETRY_AFTER.0..STOPPING_RETRY_AFTER.1)
-}
-
 /// Random `Retry-After` time, so that callers do not retry at the same moment.
 pub(crate) fn retry_after() -> Duration {
     rand::rng().random_range(RETRY_AFTER.0..RETRY_AFTER.1)
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -39,6 +39,7 @@
 mod serve;
 mod services;
 mod slots;
+mod stopping;
 mod usage;
 mod watch;
 mod zones;
--- a/tests/tests/heads.rs
+++ b/tests/tests/heads.rs
@@ -1,7 +1,8 @@
 //! Answers of upstreams whose head breaks off, is preceded by interim responses or has unusual line breaks.
 
+use crate::unframed::one_engine;
 use eyre::{Result, ensure};
-use fakes::set::{Set, Settings};
+use fakes::set::Set;
 use tests::cases;
 use tests::raw_engine::{End, RawEngine, ask};
 
@@ -31,15 +32,6 @@
     fails_an_empty_answer_whose_upstream_is_killed(one_engine()) = |set| is_killed(set, "");
 }
 
-fn one_engine() -> Settings {
-    Settings {
-        engines: 1,
-        entries: 1,
-        order_services: 0,
-        ..Settings::default()
-    }
-}
-
 fn framed() -> String {
     let length = BODY.len();
     format!(
--- a/tests/tests/unframed.rs
+++ b/tests/tests/unframed.rs
@@ -18,7 +18,7 @@
     aborts_a_chunked_stream_that_ends_inside_an_event(one_engine()) = |set| aborts(set, true);
 }
 
-fn one_engine() -> Settings {
+pub(crate) fn one_engine() -> Settings {
     Settings {
         engines: 1,
         entries: 1,
