--- a/review/standins-2/cases/foreign_entries.rs
+++ b/review/standins-2/cases/foreign_entries.rs
@@ -12,7 +12,7 @@
 /// Room for the metadata of an object.
 const METADATA_BYTES: usize = 1_024;
 /// Entries from the other writer.
-const ENTRIES: usize = 8;
+const ENTRIES: usize = 3;
 const OBSERVED: Duration = Duration::from_secs(15);
 
 pub fn play(folder: &Path, has_trouble: bool) -> io::Result<bool> {
@@ -31,10 +31,11 @@
     Ok(is_fault(&machines, &record))
 }
 
-/// An entry whose `slots` is no number.
+/// An entry whose `slots` is a list of small objects.
 fn entry() -> String {
     let start = "{\"service\":\"pool\",\"address\":\"127.0.0.1:9\",\"zone\":\"gent-a\",\"version\":\"v1\",\"cold_remaining_ms\":0,\
                  \"sequence\":1,\"state\":\"ready\",\"slots\":[0";
-    let zeros = (VALUE_BYTES - METADATA_BYTES - start.len() - 2) / 2;
-    format!("{start}{}]}}", ",0".repeat(zeros))
+    let item = ",{\"\":0}";
+    let count = (VALUE_BYTES - METADATA_BYTES - start.len() - "]}".len()) / item.len();
+    format!("{start}{}]}}", item.repeat(count))
 }
