Add review case 8: slow readers exceed the memory

Cause: pieces of responses that wait for a slow client are not part of the memory that clients hold.

--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -3,6 +3,7 @@
 mod foreign_entries;
 mod long_prefixes;
 mod pinned_version;
+mod slow_readers;
 mod spoiled_status;
 
 use crate::engine::{self, Engine, Serve};
@@ -24,6 +25,9 @@
 /// Ends of processes on a machine, and machines, from which a day has failed.
 const FAULT_ENDS: usize = 3;
 const FAULT_MACHINES: usize = 2;
+/// Engines with long answers, each with 64 slots, and the bytes of an answer.
+const BATCH_ENGINES: usize = 30;
+const DOCUMENT_BYTES: usize = 512 << 10;
 /// Version of the engines' weights.
 const WEIGHTS: &str = "1";
 
@@ -32,6 +36,7 @@
         "foreign-entries" => foreign_entries::play(folder, has_trouble),
         "long-prefixes" => long_prefixes::play(folder, has_trouble),
         "pinned-version" => pinned_version::play(folder, has_trouble),
+        "slow-readers" => slow_readers::play(folder, has_trouble),
         "spoiled-status" => spoiled_status::play(folder, has_trouble),
         other => Err(io::Error::other(format!("no case `{other}`"))),
     }
@@ -59,6 +64,19 @@
     Ok((store, router))
 }
 
+/// Engines of the service `batch`, with slots for the requests of many clients, which answer with long documents.
+fn batch_engines(store: &Store) -> io::Result<()> {
+    for index in 0..BATCH_ENGINES {
+        Engine::start(engine::document(DOCUMENT_BYTES))?.register(
+            store,
+            &format!("i-batch-{index}"),
+            "batch",
+            64,
+        );
+    }
+    Ok(())
+}
+
 /// As [`deployment`], where one of the three engines of the service `ledger` does `faulty`.
 fn ledger_deployment(machine: Machine, faulty: Serve) -> io::Result<Router> {
     let store = Store::start()?;
@@ -86,15 +104,17 @@
         )
     };
     format!(
-        "{{\"version\":7,\"routes\":[{},{},{}],\"services\":[\
+        "{{\"version\":7,\"routes\":[{},{},{},{}],\"services\":[\
          {{\"name\":\"pool\",\"health_path\":\"/healthz\",\"max_connections\":370,\"protocol\":\"h1\",\"tls\":false,\
          \"engine\":{{\"slots\":64,\"kv_capacity\":422079,\"models\":[{{\"name\":\"m\"}}]}}}},\
-         {{\"name\":\"ledger\",\"health_path\":\"/healthz\",\"max_connections\":110,\"protocol\":\"h1\",\"tls\":false}}],\
+         {{\"name\":\"ledger\",\"health_path\":\"/healthz\",\"max_connections\":110,\"protocol\":\"h1\",\"tls\":false}},\
+         {{\"name\":\"batch\",\"health_path\":\"/healthz\",\"max_connections\":490,\"protocol\":\"h1\",\"tls\":false}}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
          \"tenants\":[{{\"name\":\"hule930\",\"api_keys\":[\"key-1\"],\"priority\":1}}]}}",
         route("stream", "/stream/", "streaming", "pool", 10_000),
         route("book", "/book/", "non_idempotent", "ledger", 2_000),
         route("look", "/look/", "idempotent", "ledger", 2_000),
+        route("document", "/document/", "idempotent", "batch", 15_000),
     )
 }
 
@@ -166,13 +186,13 @@
 }
 
 /// Whether processes ended three times on two machines or more, by themselves or for their memory.
-fn is_fault(machines: &[Supervisor], record: &Record) -> bool {
+fn is_fault(machines: &[Supervisor], limits: Machine, record: &Record) -> bool {
     for (index, machine) in machines.iter().enumerate() {
         record.add(&format!(
             "machine {index}: its process ended {} times; peak of {} bytes of memory, of the {} that the machine has",
             machine.ends(),
             machine.peak_memory(),
-            MACHINE.memory_bytes()
+            limits.memory_bytes()
         ));
     }
     machines
--- a/review/standins-2/cases/foreign_entries.rs
+++ b/review/standins-2/cases/foreign_entries.rs
@@ -28,7 +28,7 @@
         record.add(&format!("another writer has put {ENTRIES} entries of {} bytes into `servers`, whose `slots` is a list", spec.len()));
     }
     watch.finish(&record);
-    Ok(is_fault(&machines, &record))
+    Ok(is_fault(&machines, MACHINE, &record))
 }
 
 /// An entry whose `slots` is a list of small objects.
--- a/review/standins-2/cases/long_prefixes.rs
+++ b/review/standins-2/cases/long_prefixes.rs
@@ -48,7 +48,7 @@
         }
     }
     watch.finish(&record);
-    Ok(is_fault(&machines, &record))
+    Ok(is_fault(&machines, MACHINE, &record))
 }
 
 /// Clients whose requests are unfinished; fewer if the process ends meanwhile.
--- a/review/standins-2/engine.rs
+++ b/review/standins-2/engine.rs
@@ -2,7 +2,7 @@
 
 use crate::http::{self, Message, Reader};
 use crate::store::Store;
-use std::io;
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
@@ -105,3 +105,21 @@
         Ok(true)
     })
 }
+
+/// Answers with `length` bytes in chunks, as fast as they are taken.
+pub fn document(length: usize) -> Serve {
+    const CHUNK_BYTES: usize = 8 << 10;
+    Arc::new(move |mut stream, request| {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{}Transfer-Encoding: chunked\r\n\r\n",
+            headers(request)
+        );
+        stream.write_all(head.as_bytes())?;
+        let chunk = format!("{CHUNK_BYTES:x}\r\n{}\r\n", "d".repeat(CHUNK_BYTES));
+        for _ in 0..length / CHUNK_BYTES {
+            stream.write_all(chunk.as_bytes())?;
+        }
+        stream.write_all(b"0\r\n\r\n")?;
+        Ok(true)
+    })
+}
