--- a/review/standins-2/cases/long_prefixes.rs
+++ b/review/standins-2/cases/long_prefixes.rs
@@ -14,7 +14,7 @@
 /// Bytes of a body; the limit of the manifest is 4 MiB.
 const BODY_BYTES: usize = 17_000;
 /// Clients; a machine with 4,100 descriptors serves 1,900.
-const CLIENTS: usize = 1_500;
+const CLIENTS: usize = 1_800;
 /// Crowds at each machine, one after the other.
 const ROUNDS: usize = 3;
 /// Time for which a crowd stays.
@@ -64,17 +64,19 @@
         .collect()
 }
 
+/// A request whose prompt consists of as many parts of one token as its head may list, each with its own identifier.
 fn unfinished_request(index: usize) -> Vec<u8> {
-    let mut request = format!(
+    let start = format!(
         "POST /stream/{index} HTTP/1.1\r\nHost: ficu95.example\r\nX-Almondwell-Attempt-Id: crowd-{index}\r\n\
-         X-Almondwell-Model-Name: m\r\nX-Almondwell-Token-Usage: 8000,80\r\nX-Almondwell-Deadline-Ms: 10000\r\n\
-         Authorization: Token key-1\r\nContent-Length: {BODY_BYTES}\r\nX-Almondwell-Prompt-Prefix: "
+         X-Almondwell-Model-Name: m\r\nX-Almondwell-Deadline-Ms: 10000\r\nAuthorization: Token key-1\r\n\
+         Content-Length: {BODY_BYTES}\r\nX-Almondwell-Token-Usage: 0000,80\r\nX-Almondwell-Prompt-Prefix: "
     );
-    let part_bytes = "f:1,".len();
-    let count = (MAX_HEADER_BYTES - request.len() - "\r\n\r\n".len()) / part_bytes;
+    let part_bytes = "fff:1,".len();
+    let count = (MAX_HEADER_BYTES - start.len() - "\r\n\r\n".len()) / part_bytes;
     let parts: Vec<_> = (0..count)
-        .map(|part| format!("{:x}:1", part % 16))
+        .map(|part| format!("{:x}:1", 0x100 + part))
         .collect();
+    let mut request = start.replace("0000,80", &format!("{count},80"));
     request.push_str(&parts.join(","));
     request.push_str("\r\n\r\n");
     assert!(request.len() <= MAX_HEADER_BYTES);
