Reject answers of upstreams with an invalid status

Cause: httparse accepts any three digits, and the router took the number as it was; what is no success and not interim is relayed as an error response.

almondwell_wire::Status now decides which codes are valid and which are interim, for heads of both kinds. Other answers are malformed, as those with invalid fields are: 502, or another attempt where the route allows it. 101 is invalid too, as no request asks for it.

--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod chaos;
 pub mod engine;
 pub mod http;
+pub mod malformed;
 pub mod plain;
 pub mod poll;
 pub mod process;
--- a/router/src/connection.rs
+++ b/router/src/connection.rs
@@ -228,7 +228,7 @@
             Head::parse(buffer.bytes(), method).map_err(|_| Error::InvalidResponse)?
         {
             buffer.consume(head.length);
-            if (100..200).contains(&head.status) {
+            if head.is_interim() {
                 continue;
             }
             return Ok(head);
--- a/router/src/response.rs
+++ b/router/src/response.rs
@@ -4,6 +4,7 @@
 use crate::framing::Framing;
 use crate::request::MAX_HEADERS;
 use almondwell_platform::headers::{self, Metadata};
+use almondwell_wire::Status;
 use std::io::Write;
 use std::time::Duration;
 
@@ -44,7 +45,8 @@
             Ok(httparse::Status::Partial) | Err(_) => return Err(Malformed),
         };
         let status = response.code.ok_or(Malformed)?;
-        let has_no_body = method == "HEAD" || status < 200 || status == 204 || status == 304;
+        let is_interim = Status::of(status).ok_or(Malformed)? == Status::Interim;
+        let has_no_body = method == "HEAD" || is_interim || status == 204 || status == 304;
         let framing = if has_no_body {
             Framing::Length(0)
         } else {
@@ -72,6 +74,11 @@
         }))
     }
 
+    /// Whether the final response follows.
+    pub(crate) fn is_interim(&self) -> bool {
+        Status::of(self.status) == Some(Status::Interim)
+    }
+
     /// Encodes the head for the caller, with the given framing.
     pub(crate) fn write(&self, framing: Framing, is_closing: bool) -> Vec<u8> {
         let mut storage = [httparse::EMPTY_HEADER; MAX_HEADERS];
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -7,6 +7,7 @@
 mod memory;
 mod seal;
 mod socket;
+mod status;
 mod traffic;
 mod turn;
 
@@ -16,5 +17,6 @@
 pub use memory::limit_frame_memory;
 pub use seal::Seal;
 pub use socket::{MAX_DATAGRAM_BYTES, Socket};
+pub use status::Status;
 pub use traffic::Traffic;
 pub use turn::Turn;
