Check the trailers and the chunk sizes of bodies

Cause: the decoder skipped trailers unread, so the rest of the body up to an empty line passed for a trailer section; httparse takes a size without a digit for 0. Lines of the trailer section now have to be fields, and sizes begin with a digit: bytes of a body rarely do, so it is malformed there, and fails or is truncated as other malformed bodies are.

--- a/fakes/src/malformed.rs
+++ b/fakes/src/malformed.rs
@@ -22,7 +22,7 @@
     "200 X",
 ];
 
-/// Field lines that are invalid.
+/// Field lines that are invalid in a head and in a trailer section.
 const FIELD_LINES: [&[u8]; 14] = [
     b"X Y: 1",
     b"X\tY: 1",
@@ -59,6 +59,9 @@
     "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
 ];
 
+/// Lines in place of the size of a chunk.
+const CHUNK_SIZES: [&str; 7] = ["0", "00", "", "+5", "-5", "0x5", "5 5"];
+
 /// Answers whose head is invalid, or an interim head before it, with `headers`, lines with their line breaks, and `body`.
 pub fn heads(headers: &str, body: &str) -> Vec<Vec<u8>> {
     let length = format!("Content-Length: {}", body.len());
@@ -87,6 +90,20 @@
     answers
 }
 
+/// Answers with `headers` and `body` whose chunks or trailers are invalid.
+pub fn bodies(headers: &str, body: &str) -> Vec<Vec<u8>> {
+    let head = format!("HTTP/1.1 200 OK\r\n{headers}Transfer-Encoding: chunked\r\n\r\n");
+    let chunks = chunks(body);
+    let trailers = FIELD_LINES.map(|line| {
+        let before = format!("{head}{chunks}0\r\nX-First: 1\r\n");
+        [before.as_bytes(), line, b"\r\n\r\n"].concat()
+    });
+    let first = CHUNK_SIZES.map(|size| format!("{head}{size}\r\n{body}\r\n0\r\n\r\n"));
+    let second = CHUNK_SIZES.map(|size| format!("{head}{chunks}{size}\r\n{body}\r\n0\r\n\r\n"));
+    let sizes = first.into_iter().chain(second).map(String::into_bytes);
+    trailers.into_iter().chain(sizes).collect()
+}
+
 /// `body` as one chunk.
 fn chunks(body: &str) -> String {
     format!("{:x}\r\n{body}\r\n", body.len())
--- a/router/src/fields.rs
+++ b/router/src/fields.rs
@@ -1,4 +1,4 @@
-//! Header fields that determine a message's framing and whether its connection persists.
+//! Header fields: their syntax, and those that determine a message's framing and whether its connection persists.
 
 use crate::framing::Framing;
 use httparse::Header;
@@ -39,3 +39,14 @@
         .flat_map(|value| value.split(','))
         .any(|value| value.trim().eq_ignore_ascii_case(option))
 }
+
+/// Whether `line`, without its line break, is a field with a valid name and value (RFC 9112, 5).
+pub(crate) fn is_field(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else {
+        return false;
+    };
+    let (name, value) = (&line[..colon], &line[colon + 1..]);
+    let is_name = |byte: &u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(byte);
+    let is_value = |byte: &u8| *byte == b'\t' || !byte.is_ascii_control();
+    !name.is_empty() && name.iter().all(is_name) && value.iter().all(is_value)
+}
--- a/router/src/framing.rs
+++ b/router/src/framing.rs
@@ -1,5 +1,6 @@
 //! Framing of HTTP/1.1 bodies, and the chunked encoding.
 
+use crate::fields;
 use std::fmt::{self, Display, Formatter};
 
 /// Longest chunk-size line or trailer section.
@@ -116,6 +117,10 @@
     }
 
     fn size(&mut self, input: &[u8]) -> Result<usize, Malformed> {
+        // The parser takes a line without a digit for a size of zero.
+        if input.first().is_some_and(|byte| !byte.is_ascii_hexdigit()) {
+            return Err(Malformed);
+        }
         match httparse::parse_chunk_size(input) {
             Ok(httparse::Status::Complete((used, size))) => {
                 self.state = if size == 0 {
@@ -149,9 +154,11 @@
         let Some(end) = line else {
             return Ok(0);
         };
-        self.state = match end {
-            0 => State::Done,
-            end => State::Trailer(length + end + 2),
+        self.state = match &input[..end] {
+            [] => State::Done,
+            line if fields::is_field(line) => State::Trailer(length + end + 2),
+            // Probably a chunk: the size before it was spoiled.
+            _ => return Err(Malformed),
         };
         Ok(end + 2)
     }
--- a/router/tests/framing.rs
+++ b/router/tests/framing.rs
@@ -56,6 +56,13 @@
     rejects_an_invalid_chunk_size: b"xyz\r\nabc\r\n";
     rejects_a_chunk_longer_than_its_size: b"2\r\nabc\r\n0\r\n\r\n";
     rejects_an_overflowing_chunk_size: b"fffffffffffffffff\r\n";
+    // Guards against a chunk that is taken for trailers since its size is spoiled.
+    rejects_a_chunk_after_the_last_one: b"3\r\nabc\r\n0\r\nabc\r\n0\r\n\r\n";
+    rejects_an_event_after_the_last_chunk: b"0\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n";
+    rejects_an_empty_chunk_size: b"\r\n0\r\n\r\n";
+    rejects_a_trailer_without_a_name: b"0\r\n: 1\r\n\r\n";
+    rejects_a_trailer_with_a_blank_in_its_name: b"0\r\nX Y: 1\r\n\r\n";
+    rejects_a_trailer_with_a_control_byte: b"0\r\nX: \x01\r\n\r\n";
     rejects_trailers_without_end: &[b"0\r\n".as_slice(), &b"X-Trailer: one\r\n".repeat(1000)].concat();
 }
 
