Check the heads of all answers in one place

A header value beyond ASCII in an answer of the store panicked the task that made the call; a provider's answer with two lengths counted as a success; a side relayed an answer behind a 101.

Cause: these readers use async-h1, which unwraps the conversion of values, takes the last of several lengths, and takes an unknown transfer coding for an empty body. Only the router checked heads itself. Evidence: the table of malformed answers, sent to each reader.

Fields and framing moved to the wire package.

--- a/almondwell/src/admin_client.rs
+++ b/almondwell/src/admin_client.rs
@@ -1,5 +1,6 @@
 //! HTTP client of the operator commands for the admin endpoints of running instances.
 
+use almondwell_wire::{Allowance, Inflow, Reply};
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use eyre::{Result, WrapErr, ensure, eyre};
@@ -27,7 +28,8 @@
 async fn fetch(admin: SocketAddr, path: &str) -> Result<Vec<u8>> {
     let stream = TcpStream::connect(admin).await?;
     let request = Request::new(Method::Get, format!("http://{admin}{path}").as_str());
-    let mut response = async_h1::connect(stream, request)
+    let reply = Reply::new(Inflow::new(stream, Allowance::new(u64::MAX)));
+    let mut response = async_h1::connect(reply, request)
         .await
         .map_err(|error| eyre!("{error}"))?;
     let status = response.status();
--- a/router/src/framing.rs
+++ b/router/src/framing.rs
@@ -1,22 +1,13 @@
 //! Framing of HTTP/1.1 bodies, and the chunked encoding.
 
-use crate::fields;
+pub use almondwell_wire::Framing;
+
+use almondwell_wire::fields;
 use std::fmt::{self, Display, Formatter};
 
 /// Longest chunk-size line or trailer section.
 const MAX_LINE_BYTES: usize = 4 << 10;
 
-/// How the end of a body is determined.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Framing {
-    /// By the last chunk of the chunked encoding.
-    Chunked,
-    /// By the close of the connection.
-    Close,
-    /// By its length in bytes.
-    Length(u64),
-}
-
 /// The body violates the chunked encoding.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Malformed;
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -20,7 +20,6 @@
 mod endpoints;
 pub mod events;
 mod fetches;
-mod fields;
 pub mod framing;
 mod history;
 mod loads;
--- a/router/src/response.rs
+++ b/router/src/response.rs
@@ -1,10 +1,9 @@
 //! Heads of upstreams' responses.
 
-use crate::fields;
 use crate::framing::Framing;
 use crate::request::MAX_HEADERS;
 use almondwell_platform::headers::{self, Metadata};
-use almondwell_wire::Status;
+use almondwell_wire::{Status, fields};
 use std::io::Write;
 use std::time::Duration;
 
--- a/side/src/main.rs
+++ b/side/src/main.rs
@@ -16,7 +16,6 @@
 mod liveness;
 mod metrics;
 mod quarantine;
-mod reply;
 mod run;
 mod side;
 mod sink;
--- a/side/src/upstream.rs
+++ b/side/src/upstream.rs
@@ -2,12 +2,11 @@
 
 use crate::ending::Ending;
 use crate::quarantine::{self, Admission};
-use crate::reply::Reply;
 use crate::side::Side;
 use crate::sink::Sink;
 use crate::{drain, fencing, health};
 use almondwell_schema::{Chunk, Crash, End, Fault, Head, Header, Reason, Run, Ticket, Verdict};
-use almondwell_wire::{Allowance, Error, Inflow};
+use almondwell_wire::{Allowance, Error, Inflow, Reply};
 use async_h1::client::{Encoder, decode};
 use async_std::io::{self, BufReader, ReadExt};
 use async_std::net::TcpStream;
@@ -69,16 +68,10 @@
     }
 }
 
-/// Sends `request` and reads the head of its response, and the interim responses before it.
+/// Sends `request` and reads the head of its response.
 async fn exchange(reply: &Reply, request: Request) -> http_types::Result<Response> {
     io::copy(Encoder::new(request), reply.clone()).await?;
-    loop {
-        let response = decode(reply.clone()).await?;
-        if !response.status().is_informational() {
-            return Ok(response);
-        }
-        reply.start_head();
-    }
+    decode(reply.clone()).await
 }
 
 fn request(side: &Side, run: &Run) -> Request {
--- a/tests/tests/main.rs
+++ b/tests/tests/main.rs
@@ -9,6 +9,7 @@
 mod faults;
 mod heads;
 mod ledger;
+mod malformed;
 mod membership;
 mod outage;
 mod path;
--- a/router/src/fields.rs
+++ b/wire/src/fields.rs
@@ -1,11 +1,11 @@
 //! Header fields: their syntax, and those that determine a message's framing and whether its connection persists.
 
-use crate::framing::Framing;
+use crate::Framing;
 use httparse::Header;
 
 /// Values of all fields called `name`, trimmed. A value that is not UTF-8 becomes U+FFFD, which matches
 /// nothing.
-pub(crate) fn values<'a>(headers: &'a [Header<'_>], name: &str) -> Vec<&'a str> {
+pub fn values<'a>(headers: &'a [Header<'_>], name: &str) -> Vec<&'a str> {
     headers
         .iter()
         .filter(|header| header.name.eq_ignore_ascii_case(name))
@@ -19,7 +19,7 @@
 
 /// Framing of a body; `default` if no field states it. `None` if the fields are invalid or ambiguous, so that
 /// two parties might disagree on where the body ends (request smuggling).
-pub(crate) fn framing(headers: &[Header<'_>], default: Framing) -> Option<Framing> {
+pub fn framing(headers: &[Header<'_>], default: Framing) -> Option<Framing> {
     let lengths = values(headers, "Content-Length");
     let encodings = values(headers, "Transfer-Encoding");
     match (&lengths[..], &encodings[..]) {
@@ -33,7 +33,7 @@
 }
 
 /// Whether a `Connection` field has the given option.
-pub(crate) fn has_option(headers: &[Header<'_>], option: &str) -> bool {
+pub fn has_option(headers: &[Header<'_>], option: &str) -> bool {
     values(headers, "Connection")
         .iter()
         .flat_map(|value| value.split(','))
@@ -41,7 +41,7 @@
 }
 
 /// Whether `line`, without its line break, is a field with a valid name and value (RFC 9112, 5).
-pub(crate) fn is_field(line: &[u8]) -> bool {
+pub fn is_field(line: &[u8]) -> bool {
     let Some(colon) = line.iter().position(|byte| *byte == b':') else {
         return false;
     };
