Decode objects of the store without holding all of their content

Three entries of 1 MB from another writer ended the processes of all machines for their memory, again after each restart (Fault).

Cause: the client of the store parsed the spec of each object into a tree of JSON values, in which 7 bytes of text take some hundred, and kept the trees of a whole list before the registrations were decoded and the entries rejected.

What is kept follows what an entry is for, however long it is.

--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -5,8 +5,9 @@
 use crate::{
     caller, cause_objects, duties, endpoints, fetches, loads, peers, reports, usage, watch,
 };
+use almondwell_core::upstream::Upstream;
 use almondwell_daemon::{signals, wait_for_stop};
-use almondwell_platform::store::Kind;
+use almondwell_platform::decode::Configuration;
 use almondwell_schema::RouterSettings;
 use almondwell_wire::{MAX_FRAME_BYTES, Seal, Socket, limit_frame_memory};
 use async_std::net::TcpListener;
@@ -51,8 +52,8 @@
         zone = router.settings.zone.as_ref(), callers = router.settings.callers.to_string(),
         store = router.settings.store.to_string()
     });
-    task::spawn(watch::watch(router.clone(), Kind::Configuration));
-    task::spawn(watch::watch(router.clone(), Kind::Upstreams));
+    task::spawn(watch::watch::<Configuration>(router.clone()));
+    task::spawn(watch::watch::<Upstream>(router.clone()));
     task::spawn(fetches::serve(router.clone(), peer_listener));
     task::spawn(fetches::run(router.clone()));
     task::spawn(peers::receive(router.clone()));
--- a/router/src/watch.rs
+++ b/router/src/watch.rs
@@ -4,8 +4,9 @@
 use almondwell_core::fleet::{Change, Fleet, Source};
 use almondwell_core::upstream::{Upstream, UpstreamId};
 use almondwell_core::watch::Watch;
-use almondwell_platform::store::{Changes, Cursor, Event, Item, Kind, Revision};
-use almondwell_platform::{Error, decode};
+use almondwell_platform::Error;
+use almondwell_platform::decode::Configuration;
+use almondwell_platform::store::{Changes, Cursor, Event, Item, Kind, Record, Revision};
 use async_std::task;
 use rand::Rng;
 use std::sync::Arc;
@@ -25,8 +26,23 @@
 /// Interval between checks for delayed removals that are due.
 const EXPIRY_PERIOD: Duration = Duration::from_millis(250);
 
-/// Watches one kind of objects forever and applies their changes to the router.
-pub(crate) async fn watch(router: Arc<Router>, kind: Kind) {
+/// Objects that the router follows.
+pub(crate) trait Followed: Record + Send {
+    const KIND: Kind;
+
+    /// Applies a response of the store to a call that started at `start`.
+    fn apply(router: &Router, start: Duration, changes: Changes<Self>);
+
+    /// Records that all changes up to `revision` have been applied.
+    fn record_current(router: &Router, revision: Option<Revision>);
+
+    /// Records that the store cannot be reached.
+    fn record_outage(router: &Router);
+}
+
+/// Follows one kind of objects forever and applies their changes to the router.
+pub(crate) async fn watch<F: Followed>(router: Arc<Router>) {
+    let kind = F::KIND;
     let mut failures = 0;
     let mut watch = Watch::new(router.settings.contact);
     let mut cursor = Cursor::START;
@@ -34,16 +50,13 @@
         let start = router.now();
         let limits = watch.limits(start);
         let previous = cursor.revision();
-        match router.store.changes(kind, &mut cursor, limits).await {
+        match router.store.changes::<F>(kind, &mut cursor, limits).await {
             Ok(changes) => {
                 failures = 0;
                 watch.record_answer(router.now(), start, limits);
-                let has_changed = apply(&router, kind, previous, start, &changes);
-                match (kind, cursor.revision()) {
-                    (Kind::Configuration, _) => router.set_current(true),
-                    (Kind::Upstreams, Some(at)) => router.record_list(at),
-                    (Kind::Upstreams, None) => {}
-                }
+                let has_changed = is_change(kind, previous, &changes);
+                F::apply(&router, start, changes);
+                F::record_current(&router, cursor.revision());
                 if has_changed {
                     task::sleep(BATCH_DELAY).await;
                 }
@@ -54,7 +67,10 @@
                 watch.record_failure(now);
                 let is_overdue = now.saturating_sub(start) > limits.wait;
                 if failures >= OUTAGE_FAILURES || is_overdue || matches!(error, Error::Down(_)) {
-                    report_failure(&router, kind, &error);
+                    F::record_outage(&router);
+                    spdlog::debug!("store request failed", kv: {
+                        kind = format!("{kind:?}"), error = error.to_string()
+                    });
                 }
                 if failures > 1 {
                     task::sleep(retry_delay(failures)).await;
@@ -64,6 +80,21 @@
     }
 }
 
+/// Whether `changes` holds changes from a watch, as opposed to a full list.
+fn is_change<R>(kind: Kind, previous: Option<Revision>, changes: &Changes<R>) -> bool {
+    match changes {
+        Changes::All(_) => {
+            if let Some(revision) = previous {
+                spdlog::info!("objects were listed again", kv: {
+                    kind = format!("{kind:?}"), revision
+                });
+            }
+            false
+        }
+        Changes::Since(events) => !events.is_empty(),
+    }
+}
+
 /// Delay after `failures` consecutive failures, with jitter so that entries do not call at the same moment.
 fn retry_delay(failures: u32) -> Duration {
     let doubled = INITIAL_RETRY_DELAY.saturating_mul(1 << failures.saturating_sub(2).min(8));
@@ -72,95 +103,93 @@
         .mul_f64(rand::rng().random_range(0.5..1.0))
 }
 
-fn report_failure(router: &Router, kind: Kind, error: &Error) {
-    match kind {
-        Kind::Configuration => router.set_current(false),
-        Kind::Upstreams => router.record_outage(),
+impl Followed for Configuration {
+    const KIND: Kind = Kind::Configuration;
+
+    fn apply(router: &Router, _start: Duration, changes: Changes<Self>) {
+        match changes {
+            Changes::All(items) => items
+                .into_iter()
+                .for_each(|item| apply_configuration(router, item)),
+            Changes::Since(events) => events
+                .into_iter()
+                .for_each(|event| apply_configuration_event(router, event)),
+        }
+    }
+
+    fn record_current(router: &Router, _revision: Option<Revision>) {
+        router.set_current(true);
+    }
+
+    fn record_outage(router: &Router) {
+        router.set_current(false);
     }
-    spdlog::debug!("store request failed", kv: {
-        kind = format!("{kind:?}"), error = error.to_string()
-    });
 }
 
-/// Applies a response of the store to a call that started at `start`; returns whether it holds changes from a watch, as opposed to a full list.
-fn apply(
-    router: &Router,
-    kind: Kind,
-    previous: Option<Revision>,
-    start: Duration,
-    changes: &Changes,
-) -> bool {
-    match (kind, changes) {
-        (Kind::Configuration, Changes::All(items)) => {
-            for item in items {
-                apply_configuration(router, item);
-            }
-        }
-        (Kind::Configuration, Changes::Since(events)) => {
-            for event in events {
-                apply_configuration_event(router, event);
-            }
-        }
-        (Kind::Upstreams, Changes::All(items)) => {
-            let upstreams = items.iter().filter_map(decode_upstream).collect();
-            router.update_fleet(|fleet, now| {
+impl Followed for Upstream {
+    const KIND: Kind = Kind::Upstreams;
+
+    fn apply(router: &Router, start: Duration, changes: Changes<Self>) {
+        router.update_fleet(|fleet, now| match changes {
+            Changes::All(items) => {
+                let upstreams = items.into_iter().filter_map(valid_upstream).collect();
                 let changes = fleet.replace(now, Source::Store, upstreams);
                 fleet.confirm(start);
                 changes
-            });
-        }
-        (Kind::Upstreams, Changes::Since(events)) => {
-            router.update_fleet(|fleet, now| {
+            }
+            Changes::Since(events) => {
                 fleet.record_watch(now, start);
                 let changes = events
-                    .iter()
+                    .into_iter()
                     .map(|event| apply_registration(fleet, now, event))
                     .collect();
                 fleet.confirm(start);
                 changes
-            });
-        }
-    }
-    match changes {
-        Changes::All(_) => {
-            if let Some(revision) = previous {
-                spdlog::info!("objects were listed again", kv: {
-                    kind = format!("{kind:?}"), revision
-                });
             }
-            false
+        });
+    }
+
+    fn record_current(router: &Router, revision: Option<Revision>) {
+        if let Some(revision) = revision {
+            router.record_list(revision);
         }
-        Changes::Since(events) => !events.is_empty(),
+    }
+
+    fn record_outage(router: &Router) {
+        router.record_outage();
     }
 }
 
-fn apply_configuration_event(router: &Router, event: &Event) {
+fn apply_configuration_event(router: &Router, event: Event<Configuration>) {
     match event {
         Event::Put(item) => apply_configuration(router, item),
-        Event::Deleted(item) => {
+        Event::Deleted { revision, .. } => {
             spdlog::warn!("configuration deleted from the store; keeping the active one", kv: {
-                revision = item.revision
+                revision
             });
         }
     }
 }
 
 /// Applies the change of a registration. An invalid registration counts as a removal.
-fn apply_registration(fleet: &mut Fleet, now: Duration, event: &Event) -> (UpstreamId, Change) {
-    let (Event::Put(item) | Event::Deleted(item)) = event;
-    let upstream = match event {
-        Event::Put(item) => decode_upstream(item),
-        Event::Deleted(_) => None,
+fn apply_registration(
+    fleet: &mut Fleet,
+    now: Duration,
+    event: Event<Upstream>,
+) -> (UpstreamId, Change) {
+    let (name, upstream) = match event {
+        Event::Put(item) => (item.name.clone(), valid_upstream(item)),
+        Event::Deleted { name, .. } => (name, None),
     };
     let change = match upstream {
         Some(upstream) => fleet.put(upstream),
-        None => fleet.remove(now, &item.name),
+        None => fleet.remove(now, &name),
     };
-    (item.name.clone(), change)
+    (name, change)
 }
 
-fn decode_upstream(item: &Item) -> Option<Upstream> {
-    match decode::upstream(&item.name, &item.spec) {
+fn valid_upstream(item: Item<Upstream>) -> Option<Upstream> {
+    match item.record {
         Ok(upstream) => Some(upstream),
         Err(fault) => {
             spdlog::warn!("invalid registration ignored", kv: {
@@ -171,9 +200,9 @@
     }
 }
 
-fn apply_configuration(router: &Router, item: &Item) {
-    match decode::table(&item.spec) {
-        Ok(table) => router.adopt(table, item.spec.to_string().into_bytes(), "store"),
+fn apply_configuration(router: &Router, item: Item<Configuration>) {
+    match item.record {
+        Ok(Configuration { raw, table }) => router.adopt(table, raw, "store"),
         Err(fault) => spdlog::error!("invalid configuration ignored", kv: {
             object = item.name.as_ref(), revision = item.revision, fault = fault.as_ref()
         }),
