Send the rest of a request while its response arrives

An upstream that began its answer before it had read a long request got no more of it: the client waited until its deadline.

Cause: writing the request and reading the head of the response were alternatives of one wait, so the head ended the upload. With the send buffer of 64 KiB some 300 KB are enough to show it; before, the buffers of the kernel hid it up to a few MB. Evidence: an upstream that begins its answer, reads the request, and completes the answer.

Exchange now holds both directions of a request on a connection, and writes what is left (Upload) whenever it waits for the response. An answer without a length that ends before the request was sent is complete if the upstream takes the rest: one that has closed both directions resets the connection.

--- a/router/src/body.rs
+++ b/router/src/body.rs
@@ -29,6 +29,11 @@
         self.length == 0
     }
 
+    /// One of its pieces.
+    pub(crate) fn piece(&self, index: usize) -> Option<&[u8]> {
+        self.segments.get(index).map(Vec::as_slice)
+    }
+
     /// Its bytes, in pieces.
     pub(crate) fn pieces(&self) -> impl Iterator<Item = &[u8]> + Clone {
         self.segments.iter().map(Vec::as_slice)
--- a/router/src/connection.rs
+++ b/router/src/connection.rs
@@ -1,14 +1,12 @@
 //! HTTP/1.1 connection to an upstream.
 
 use crate::buffer::Buffer;
-use crate::framing::{Decoder, Framing};
-use crate::request::Request;
-use crate::response::{Head, MAX_HEAD_BYTES};
+use crate::response::Head;
 use almondwell_platform::{is_reset, limit_receive_buffer, limit_send_buffer, set_up_socket};
 use async_std::future::timeout;
-use async_std::io::{self, WriteExt};
+use async_std::io;
 use async_std::net::TcpStream;
-use futures_lite::future::{or, poll_once};
+use futures_lite::future::poll_once;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -39,7 +37,7 @@
 pub(crate) enum Error {
     /// The upstream closed the connection.
     Closed,
-    /// The response ended with its connection before the request was sent completely.
+    /// The response ended with its connection, and the upstream did not take the rest of the request.
     Early,
     /// The stream ended inside an event.
     IncompleteEvent,
@@ -92,10 +90,8 @@
 
 /// A connection to an upstream, used for one request at a time.
 pub(crate) struct Connection {
-    buffer: Buffer,
+    pub(crate) buffer: Buffer,
     idle_since: Instant,
-    /// Whether the request was written completely.
-    is_sent: bool,
     idle_timeout: Duration,
 }
 
@@ -112,82 +108,31 @@
         Ok(Self {
             buffer: Buffer::new(stream),
             idle_since: Instant::now(),
-            is_sent: false,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
         })
     }
 
-    /// Sends `request` with the encoded `head` and reads the head of the response.
+    /// Reads the head of the final response to a request with `method`.
     ///
-    /// An upstream may respond before it has read a long body; the connection is then not reused. A response
-    /// whose body is longer than `max_body` bytes fails, here or in [`Self::read_body`].
-    pub(crate) async fn exchange(
-        &mut self,
-        head: Vec<u8>,
-        request: &Request,
-        max_body: u64,
-    ) -> Result<Head, Error> {
-        let head = self.request_head(head, request).await?;
-        if matches!(head.framing, Framing::Length(length) if length > max_body) {
-            return Err(Error::TooLong);
-        }
-        self.buffer.allow(max_body);
-        Ok(head)
-    }
-
-    async fn request_head(&mut self, mut head: Vec<u8>, request: &Request) -> Result<Head, Error> {
-        self.is_sent = false;
-        // Bounds all interim responses and the final head together.
-        self.buffer.allow(MAX_HEAD_BYTES as u64);
-        let mut writer = self.buffer.stream().clone();
-        // The first piece of the body shares a packet with the head. Nothing is copied that stays until the answer.
-        let write = async move {
-            let mut pieces = request.body.pieces();
-            head.extend_from_slice(pieces.next().unwrap_or_default());
-            writer.write_all(&head).await?;
-            drop(head);
-            for piece in pieces {
-                writer.write_all(piece).await?;
+    /// # Errors
+    ///
+    /// Fails when the connection fails or the head is invalid.
+    pub(crate) async fn read_head(&mut self, method: &str) -> Result<Head, Error> {
+        let buffer = &mut self.buffer;
+        loop {
+            if let Some(head) =
+                Head::parse(buffer.bytes(), method).map_err(|_| Error::InvalidResponse)?
+            {
+                buffer.consume(head.length);
+                if head.is_interim() {
+                    continue;
+                }
+                return Ok(head);
+            }
+            if buffer.fill().await? == 0 {
+                return Err(Error::Closed);
             }
-            Ok(None)
-        };
-        let method = &request.method;
-        let read = async { read_head(&mut self.buffer, method).await.map(Some) };
-        if let Some(head) = or(write, read).await? {
-            return Ok(head);
-        }
-        self.is_sent = true;
-        read_head(&mut self.buffer, method).await
-    }
-
-    /// Decodes received bytes into `body`, reading once if there are none; returns whether the body is
-    /// complete. One that ends with the connection is not complete unless the request was sent: the upstream cannot
-    /// have read it, and resets the connection as soon as it closes both directions.
-    pub(crate) async fn read_body(
-        &mut self,
-        decoder: &mut Decoder,
-        body: &mut Vec<u8>,
-    ) -> Result<bool, Error> {
-        self.decode(decoder, body)?;
-        if decoder.is_done() || !body.is_empty() {
-            return Ok(decoder.is_done());
-        }
-        match self.buffer.fill().await? {
-            0 if decoder.ends_with_connection() && self.is_sent => return Ok(true),
-            0 if decoder.ends_with_connection() => return Err(Error::Early),
-            0 => return Err(Error::Closed),
-            _ => {}
         }
-        self.decode(decoder, body)?;
-        Ok(decoder.is_done())
-    }
-
-    fn decode(&mut self, decoder: &mut Decoder, body: &mut Vec<u8>) -> Result<(), Error> {
-        let used = decoder
-            .decode(self.buffer.bytes(), body)
-            .map_err(|_| Error::InvalidResponse)?;
-        self.buffer.consume(used);
-        Ok(())
     }
 
     /// Fails if the upstream ends the new connection within `time`.
@@ -207,7 +152,7 @@
 
     /// Prepares the connection for reuse after a complete response; `None` if it cannot be reused.
     pub(crate) fn into_idle(mut self, head: &Head) -> Option<Self> {
-        if !self.is_sent || !head.is_keep_alive || !self.buffer.bytes().is_empty() {
+        if !head.is_keep_alive || !self.buffer.bytes().is_empty() {
             return None;
         }
         self.idle_since = Instant::now();
@@ -236,20 +181,3 @@
         self.idle_since.elapsed() >= self.idle_timeout.saturating_sub(IDLE_MARGIN)
     }
 }
-
-async fn read_head(buffer: &mut Buffer, method: &str) -> Result<Head, Error> {
-    loop {
-        if let Some(head) =
-            Head::parse(buffer.bytes(), method).map_err(|_| Error::InvalidResponse)?
-        {
-            buffer.consume(head.length);
-            if head.is_interim() {
-                continue;
-            }
-            return Ok(head);
-        }
-        if buffer.fill().await? == 0 {
-            return Err(Error::Closed);
-        }
-    }
-}
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -5,6 +5,7 @@
 use crate::connection::{Connection, Error};
 use crate::crash::{self, Sign};
 use crate::dispatch::{Admitted, Outcome, Progress, retry_after};
+use crate::exchange::Exchange;
 use crate::framing::Framing;
 use crate::history::History;
 use crate::refusal::{Reason, Refusal};
@@ -182,7 +183,7 @@
     delivery: Delivery<'_>,
     history: &mut History,
     backend: &Arc<Backend>,
-    mut connection: Connection,
+    connection: Connection,
     is_reused: bool,
 ) -> SendOutcome {
     let Delivery {
@@ -199,10 +200,8 @@
     usage::record_send(delivery);
     let sent_at = router.now();
     progress.set_holder(sent_at, Some(backend));
-    let head = match connection
-        .exchange(head, request, router.settings.max_answer)
-        .await
-    {
+    let mut exchange = Exchange::new(connection, head, request);
+    let head = match exchange.read_head(router.settings.max_answer).await {
         Ok(head) => head,
         Err(error) => {
             progress.set_holder(router.now(), None);
@@ -237,7 +236,7 @@
     let sent = if is_stale {
         SendOutcome::Error(Error::InvalidResponse)
     } else {
-        handle_response(delivery, history, backend, &head, &mut connection).await
+        handle_response(delivery, history, backend, &head, &mut exchange).await
     };
     drop(inflight);
     progress.set_holder(router.now(), None);
@@ -257,7 +256,7 @@
         SendOutcome::CallerClosed | SendOutcome::Failed(_) | SendOutcome::NotRun => {}
     }
     if !matches!(sent, SendOutcome::Error(_) | SendOutcome::CallerClosed)
-        && let Some(connection) = connection.into_idle(&head)
+        && let Some(connection) = exchange.into_idle(&head)
     {
         backend.put_idle(connection);
     }
@@ -292,12 +291,12 @@
     history: &mut History,
     backend: &Arc<Backend>,
     head: &Head,
-    connection: &mut Connection,
+    exchange: &mut Exchange<'_>,
 ) -> SendOutcome {
     let metadata = &head.metadata;
     let is_not_run = metadata.is_not_run || head.status == 421;
     if is_not_run || !(200..300).contains(&head.status) {
-        let body = match relay::read_body(delivery, connection, head).await {
+        let body = match relay::read_body(delivery, exchange, head).await {
             Ok(body) => body,
             // The head already states that the request was not run, so the body is not needed.
             Err(_) if is_not_run => return SendOutcome::NotRun,
@@ -307,7 +306,7 @@
             return SendOutcome::NotRun;
         }
         let events = history.events.count();
-        if !relay::is_whole(delivery, backend, connection, head, events).await {
+        if !relay::is_whole(delivery, backend, exchange, head, events).await {
             return SendOutcome::Error(Error::Unreachable);
         }
         let head = head.clone();
@@ -321,10 +320,10 @@
         return SendOutcome::Error(Error::InvalidResponse);
     }
     let relayed = if is_stream {
-        relay::stream(delivery, backend, head, connection, &mut history.events).await
+        relay::stream(delivery, backend, head, exchange, &mut history.events).await
     } else {
         usage::record_token(delivery);
-        relay::buffered(delivery, backend, head, connection).await
+        relay::buffered(delivery, backend, head, exchange).await
     };
     match relayed {
         RelayOutcome::Error(error) => SendOutcome::Error(error),
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -1,11 +1,12 @@
 //! Relays responses from upstreams to callers.
 
 use crate::backend::Backend;
-use crate::connection::{Connection, Error};
+use crate::connection::Error;
 use crate::crash::{self, Sign};
 use crate::delivery::{Delivery, attempt_id};
 use crate::dispatch::Outcome;
 use crate::events::Events;
+use crate::exchange::Exchange;
 use crate::framing::{Decoder, Framing, LAST_CHUNK, write_chunk};
 use crate::refusal::{Reason, Refusal};
 use crate::response::Head;
@@ -41,14 +42,14 @@
 /// Fails when the connection fails, or the body is malformed or too long.
 pub(crate) async fn read_body(
     delivery: Delivery<'_>,
-    connection: &mut Connection,
+    exchange: &mut Exchange<'_>,
     head: &Head,
 ) -> Result<Vec<u8>, Error> {
     let mut decoder = Decoder::new(head.framing);
     let mut body = Vec::new();
     loop {
         let mut chunk = Vec::new();
-        let is_done = connection.read_body(&mut decoder, &mut chunk).await?;
+        let is_done = exchange.read_body(&mut decoder, &mut chunk).await?;
         let before = body.capacity();
         append(&mut body, &chunk);
         delivery.client.hold_anyway(body.capacity() - before);
@@ -67,7 +68,7 @@
 pub(crate) async fn is_whole(
     delivery: Delivery<'_>,
     backend: &Arc<Backend>,
-    connection: &Connection,
+    exchange: &Exchange<'_>,
     head: &Head,
     events: u32,
 ) -> bool {
@@ -81,7 +82,7 @@
     } else {
         Sign::EndedInError
     };
-    crash::check(delivery, backend, events, sign).await && !connection.is_reset()
+    crash::check(delivery, backend, events, sign).await && !exchange.is_reset()
 }
 
 /// Relays a response that is buffered until it is complete, so that the request can be retried if the
@@ -90,14 +91,14 @@
     delivery: Delivery<'_>,
     backend: &Arc<Backend>,
     head: &Head,
-    connection: &mut Connection,
+    exchange: &mut Exchange<'_>,
 ) -> RelayOutcome {
     let mut decoder = Decoder::new(head.framing);
     let mut body = Vec::new();
     let mut buffered = 0;
     loop {
         let mut chunk = Vec::new();
-        let is_done = match connection.read_body(&mut decoder, &mut chunk).await {
+        let is_done = match exchange.read_body(&mut decoder, &mut chunk).await {
             Ok(is_done) => is_done,
             Err(error) => return RelayOutcome::Error(error),
         };
@@ -113,11 +114,11 @@
             buffered += growth;
         }
         if body.len() > MAX_BUFFERED_BYTES || !has_room {
-            return relay_remainder(delivery, backend, head, connection, decoder, body, buffered)
+            return relay_remainder(delivery, backend, head, exchange, decoder, body, buffered)
                 .await;
         }
     }
-    if !is_whole(delivery, backend, connection, head, 0).await {
+    if !is_whole(delivery, backend, exchange, head, 0).await {
         return RelayOutcome::Error(Error::Unreachable);
     }
     record_first_byte(delivery, head);
@@ -155,7 +156,7 @@
     delivery: Delivery<'_>,
     backend: &Arc<Backend>,
     head: &Head,
-    connection: &mut Connection,
+    exchange: &mut Exchange<'_>,
     mut decoder: Decoder,
     mut pending: Vec<u8>,
     mut buffered: usize,
@@ -164,7 +165,7 @@
     let mut is_done = false;
     loop {
         // The body of a response without a length ends by a read without bytes, so none wait for the check.
-        if is_done && !is_whole(delivery, backend, connection, head, 0).await {
+        if is_done && !is_whole(delivery, backend, exchange, head, 0).await {
             return RelayOutcome::Error(Error::Unreachable);
         }
         if !writer.write(&pending, is_done).await {
@@ -176,7 +177,7 @@
         // A client that reads slowly must not hold the memory of the largest piece.
         pending = Vec::new();
         delivery.client.release(std::mem::take(&mut buffered));
-        is_done = match connection.read_body(&mut decoder, &mut pending).await {
+        is_done = match exchange.read_body(&mut decoder, &mut pending).await {
             Ok(is_done) => is_done,
             Err(error) => return RelayOutcome::Error(error),
         };
@@ -190,7 +191,7 @@
     delivery: Delivery<'_>,
     backend: &Arc<Backend>,
     head: &Head,
-    connection: &mut Connection,
+    exchange: &mut Exchange<'_>,
     events: &mut Events,
 ) -> RelayOutcome {
     let mut decoder = Decoder::new(head.framing);
@@ -200,7 +201,7 @@
     let count_before = events.count();
     loop {
         let mut chunk = Vec::new();
-        let is_done = match connection.read_body(&mut decoder, &mut chunk).await {
+        let is_done = match exchange.read_body(&mut decoder, &mut chunk).await {
             Ok(is_done) => is_done,
             Err(error) => return RelayOutcome::Error(error),
         };
@@ -227,7 +228,7 @@
             log_unframed_end(delivery, events);
         }
         // As in `relay_remainder`, no event waits for the check.
-        if is_last && !is_whole(delivery, backend, connection, head, events.count()).await {
+        if is_last && !is_whole(delivery, backend, exchange, head, events.count()).await {
             return RelayOutcome::Error(Error::Unreachable);
         }
         if !complete.is_empty() || is_last {
