Name a reset after the end of a response in the log

The log called a response whose connection was reset after its end `connection ended and upstream is unreachable`, although its upstream had accepted a new connection.

Cause: the check of such an end had one result for both.

--- a/router/src/connection.rs
+++ b/router/src/connection.rs
@@ -45,6 +45,8 @@
     InvalidResponse,
     /// Reading from or writing to the connection failed.
     Io(io::Error),
+    /// The response ended with its connection, which was reset afterwards.
+    Reset,
     /// The response is longer than allowed, or announces that it will be.
     TooLong,
     /// The response ended with its connection, and the upstream could not be reached afterwards.
@@ -69,6 +71,7 @@
             Self::IncompleteEvent => "stream ended inside an event",
             Self::InvalidResponse => "answer is not this request's",
             Self::Io(_) => "connection failed",
+            Self::Reset => "connection ended and was reset",
             Self::TooLong => "answer is too long",
             Self::Unreachable => "connection ended and upstream is unreachable",
         }
@@ -82,6 +85,7 @@
             | Self::Early
             | Self::IncompleteEvent
             | Self::InvalidResponse
+            | Self::Reset
             | Self::TooLong
             | Self::Unreachable => String::new(),
         }
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -110,7 +110,7 @@
             SendOutcome::Completed { is_keep_alive } => return Outcome::Answered { is_keep_alive },
             SendOutcome::CallerClosed => return Outcome::CallerClosed,
             // The upstream has been checked.
-            SendOutcome::Error(Error::Unreachable) => history.may_have_run = true,
+            SendOutcome::Error(Error::Reset | Error::Unreachable) => history.may_have_run = true,
             SendOutcome::Error(_) => {
                 history.may_have_run = true;
                 let is_suspect = crash::is_suspect(delivery.router, delivery.admitted.fingerprint);
@@ -306,8 +306,8 @@
             return SendOutcome::NotRun;
         }
         let events = history.events.count();
-        if !relay::is_whole(delivery, backend, exchange, head, events).await {
-            return SendOutcome::Error(Error::Unreachable);
+        if let Err(error) = relay::check_end(delivery, backend, exchange, head, events).await {
+            return SendOutcome::Error(error);
         }
         let head = head.clone();
         return SendOutcome::Failed(Box::new(Failure { body, head }));
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -62,18 +62,22 @@
     }
 }
 
-/// Whether the upstream is known to have sent the complete response, whose framing has ended. The system of a killed
-/// process closes its connections in the ordinary way, so an end that only the connection shows counts if the upstream
-/// still accepts a connection, and has not reset this one meanwhile.
-pub(crate) async fn is_whole(
+/// Checks that the upstream has sent the complete response, whose framing has ended. The system of a killed process closes
+/// its connections in the ordinary way, so an end that only the connection shows counts if the upstream still accepts a
+/// connection, and has not reset this one meanwhile.
+///
+/// # Errors
+///
+/// Fails when the upstream cannot be reached, or has reset the connection.
+pub(crate) async fn check_end(
     delivery: Delivery<'_>,
     backend: &Arc<Backend>,
     exchange: &Exchange<'_>,
     head: &Head,
     events: u32,
-) -> bool {
+) -> Result<(), Error> {
     if head.framing != Framing::Close {
-        return true;
+        return Ok(());
     }
     // Otherwise the end of the request would check the upstream a second time.
     delivery.progress.set_holder(delivery.router.now(), None);
@@ -82,7 +86,13 @@
     } else {
         Sign::EndedInError
     };
-    crash::check(delivery, backend, events, sign).await && !exchange.is_reset()
+    if !crash::check(delivery, backend, events, sign).await {
+        return Err(Error::Unreachable);
+    }
+    if exchange.is_reset() {
+        return Err(Error::Reset);
+    }
+    Ok(())
 }
 
 /// Relays a response that is buffered until it is complete, so that the request can be retried if the
@@ -118,8 +128,8 @@
                 .await;
         }
     }
-    if !is_whole(delivery, backend, exchange, head, 0).await {
-        return RelayOutcome::Error(Error::Unreachable);
+    if let Err(error) = check_end(delivery, backend, exchange, head, 0).await {
+        return RelayOutcome::Error(error);
     }
     record_first_byte(delivery, head);
     match write_response(delivery, head, &body).await {
@@ -165,8 +175,8 @@
     let mut is_done = false;
     loop {
         // The body of a response without a length ends by a read without bytes, so none wait for the check.
-        if is_done && !is_whole(delivery, backend, exchange, head, 0).await {
-            return RelayOutcome::Error(Error::Unreachable);
+        if is_done && let Err(error) = check_end(delivery, backend, exchange, head, 0).await {
+            return RelayOutcome::Error(error);
         }
         if !writer.write(&pending, is_done).await {
             return RelayOutcome::CallerClosed;
@@ -228,8 +238,9 @@
             log_unframed_end(delivery, events);
         }
         // As in `relay_remainder`, no event waits for the check.
-        if is_last && !is_whole(delivery, backend, exchange, head, events.count()).await {
-            return RelayOutcome::Error(Error::Unreachable);
+        let count = events.count();
+        if is_last && let Err(error) = check_end(delivery, backend, exchange, head, count).await {
+            return RelayOutcome::Error(error);
         }
         if !complete.is_empty() || is_last {
             delivery.progress.set_events(events.count());
