Log few invalid registrations of a list one by one

Each list of upstreams logged a line for each invalid registration; another writer may leave thousands, and the store is listed again now and then, at the cost of the other entries.

Cause: the log followed the number of foreign entries. Ten of a list are logged one by one now, and the number of the others in one line. docs/OPERATIONS.md said that an invalid registration leaves the last one active; it counts as removed, as before.

--- a/router/src/watch.rs
+++ b/router/src/watch.rs
@@ -26,6 +26,9 @@
 /// Interval between checks for delayed removals that are due.
 const EXPIRY_PERIOD: Duration = Duration::from_millis(250);
 
+/// Most invalid registrations of one list that are logged one by one.
+const MAX_LOGGED: usize = 10;
+
 /// Objects that the router follows.
 pub(crate) trait Followed: Record + Send {
     const KIND: Kind;
@@ -132,8 +135,7 @@
     fn apply(router: &Router, start: Duration, changes: Changes<Self>) {
         router.update_fleet(|fleet, now| match changes {
             Changes::All(items) => {
-                let upstreams = items.into_iter().filter_map(valid_upstream).collect();
-                let changes = fleet.replace(now, Source::Store, upstreams);
+                let changes = fleet.replace(now, Source::Store, valid_upstreams(items));
                 fleet.confirm(start);
                 changes
             }
@@ -188,15 +190,36 @@
     (name, change)
 }
 
+/// The valid registrations of a list. Another writer may have left thousands that are invalid.
+fn valid_upstreams(items: Vec<Item<Upstream>>) -> Vec<Upstream> {
+    let (valid, invalid): (Vec<_>, Vec<_>) =
+        items.into_iter().partition(|item| item.record.is_ok());
+    for item in invalid.iter().take(MAX_LOGGED) {
+        log_invalid(item);
+    }
+    if invalid.len() > MAX_LOGGED {
+        spdlog::warn!("further invalid registrations ignored", kv: {
+            count = invalid.len() - MAX_LOGGED
+        });
+    }
+    valid
+        .into_iter()
+        .filter_map(|item| item.record.ok())
+        .collect()
+}
+
 fn valid_upstream(item: Item<Upstream>) -> Option<Upstream> {
-    match item.record {
-        Ok(upstream) => Some(upstream),
-        Err(fault) => {
-            spdlog::warn!("invalid registration ignored", kv: {
-                upstream = item.name.as_ref(), revision = item.revision, fault = fault.as_ref()
-            });
-            None
-        }
+    if item.record.is_err() {
+        log_invalid(&item);
+    }
+    item.record.ok()
+}
+
+fn log_invalid(item: &Item<Upstream>) {
+    if let Err(fault) = &item.record {
+        spdlog::warn!("invalid registration ignored", kv: {
+            upstream = item.name.as_ref(), revision = item.revision, fault = fault.as_ref()
+        });
     }
 }
 
