--- a/fakes/src/malformed.rs
+++ b/fakes/src/malformed.rs
@@ -62,6 +62,15 @@
 /// Lines in place of the size of a chunk.
 const CHUNK_SIZES: [&str; 7] = ["0", "00", "", "+5", "-5", "0x5", "5 5"];
 
+/// Answers with each status below 100, and such interim heads before an answer, with `headers` and `body`.
+pub fn statuses(headers: &str, body: &str) -> Vec<Vec<u8>> {
+    let rest = format!("{headers}Content-Length: {}\r\n\r\n{body}", body.len());
+    let last = (0..100).map(|code| format!("HTTP/1.1 {code:03} X\r\n{rest}"));
+    let interim =
+        (0..100).map(|code| format!("HTTP/1.1 {code:03} X\r\n\r\nHTTP/1.1 200 OK\r\n{rest}"));
+    last.chain(interim).map(String::into_bytes).collect()
+}
+
 /// Answers whose head is invalid, or an interim head before it, with `headers`, lines with their line breaks, and `body`.
 pub fn heads(headers: &str, body: &str) -> Vec<Vec<u8>> {
     let length = format!("Content-Length: {}", body.len());
--- a/router/src/connection.rs
+++ b/router/src/connection.rs
@@ -18,7 +18,7 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
 /// Send buffer of a connection to an upstream. What the kernel has taken of a request counts as sent, although the upstream may
-/// never read it. By the round trip, 24 ms, a request to another region is bounded to 2.7 MB/s.
+/// never read it. A request takes a round trip for each such piece.
 const SEND_BUFFER_BYTES: usize = 64 << 10;
 /// Receive buffer of a connection to an upstream where memory is limited. A slow reader of an endless response made the kernel hold
 /// 190 KB with the system's default, and up to 32 KB with this. By the round trip, 24 ms, a response from another region is bounded
