--- a/core/src/job.rs
+++ b/core/src/job.rs
@@ -36,6 +36,8 @@
     pub parts: Vec<Part>,
     /// Prompt length in tokens.
     pub prompt_tokens: u32,
+    /// Caller's identifier of the attempt that brought the first event, when it resumes a stream.
+    pub resumes: Option<Box<str>>,
 }
 
 impl Job {
--- a/core/src/upstream.rs
+++ b/core/src/upstream.rs
@@ -29,6 +29,8 @@
     pub started_ms: Option<u64>,
     /// Whether it accepts new requests.
     pub state: State,
+    /// Version of its software, a text without an order.
+    pub version: Box<str>,
     /// Availability zone.
     pub zone: Box<str>,
 }
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -16,6 +16,7 @@
         service: "pool".into(),
         slots: 8,
         started_ms: None,
+        version: "v1".into(),
         state,
         zone: "north-a".into(),
     }
--- a/router/src/fetches.rs
+++ b/router/src/fetches.rs
@@ -238,6 +238,7 @@
         slots: upstream.slots,
         started_ms: upstream.started_ms,
         draining: upstream.state == State::Draining,
+        version: upstream.version,
         zone: upstream.zone,
     }
 }
@@ -254,6 +255,7 @@
         } else {
             State::Ready
         },
+        version: registration.version,
         zone: registration.zone,
     }
 }
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -291,7 +291,7 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// The backend of an upstream. One whose address, service or start time has changed gets a new backend.
+/// The backend of an upstream. One whose address, service, start time or version has changed gets a new backend.
 fn backend_for(
     backends: &mut BTreeMap<UpstreamId, Arc<Backend>>,
     upstream: Upstream,
@@ -299,7 +299,8 @@
     if let Some(existing) = backends.get(&upstream.id) {
         let is_same = existing.upstream.address == upstream.address
             && existing.upstream.started_ms == upstream.started_ms
-            && existing.upstream.service == upstream.service;
+            && existing.upstream.service == upstream.service
+            && existing.upstream.version == upstream.version;
         if is_same {
             return existing.clone();
         }
--- a/router/src/send_log.rs
+++ b/router/src/send_log.rs
@@ -16,6 +16,9 @@
     spdlog::info!("request sent", kv: {
         request = attempt_id(delivery.request),
         upstream = backend.upstream.id.as_ref(),
+        version = backend.upstream.version.as_ref(),
+        resumes = delivery.request.job.resumes.as_deref().unwrap_or("-"),
+        last_event = history.events.last().unwrap_or("-"),
         send = history.sends,
         band = format!("{:?}", delivery.admitted.band),
         has_parts = view.has_parts,
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -524,6 +524,8 @@
     /// Start time of the upstream in milliseconds since the Unix epoch.
     pub started_ms: Option<u64>,
     pub draining: bool,
+    /// Version of the upstream's software.
+    pub version: Box<str>,
     pub zone: Box<str>,
 }
 /// Requests an entry's copy of the routes and upstreams in the store.
