Continue streams only at the version that began them

Cause: nothing tied a stream to the version of the upstream that began it. Registrations were decoded without it, the choice of an upstream did not know it, and after the loss of an entry or a connection nobody knew where a stream had begun.

Entries now record where each resumable stream begins, before its first event is relayed. Three entries keep each record and store it in shards, within 0.5 s while several versions are in use and 2 s otherwise; a list in the store names the versions that may have begun streams. A request that continues a stream goes to the recorded version, else to the only version that can have begun it, else it is refused with 503 (unknown_stream, version_gone).

Why this works: a stream goes on only where a record, or a list that is written before it is needed, names a single version; records that differ make it ambiguous, and what is missing leads to a refusal.

--- a/almondwell/src/control.rs
+++ b/almondwell/src/control.rs
@@ -35,6 +35,7 @@
         | Datagram::Digest(_)
         | Datagram::Suspect(_)
         | Datagram::EngineLoads(_)
+        | Datagram::StreamMessage(_)
         | Datagram::SuspectPart(_)
         | Datagram::Usage(_)
         | Datagram::UsageAck(_)
--- a/almondwell/src/once.rs
+++ b/almondwell/src/once.rs
@@ -165,6 +165,7 @@
             | Datagram::Digest(_)
             | Datagram::Suspect(_)
             | Datagram::EngineLoads(_)
+            | Datagram::StreamMessage(_)
             | Datagram::SuspectPart(_)
             | Datagram::Usage(_)
             | Datagram::UsageAck(_)
--- a/almondwell/src/reserve.rs
+++ b/almondwell/src/reserve.rs
@@ -142,6 +142,7 @@
             | Datagram::Digest(_)
             | Datagram::Suspect(_)
             | Datagram::EngineLoads(_)
+            | Datagram::StreamMessage(_)
             | Datagram::SuspectPart(_)
             | Datagram::Usage(_)
             | Datagram::UsageAck(_)
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -8,6 +8,7 @@
 //! That longer time counts from the removal itself. Where an entry may have learned of it late, the grace period
 //! therefore counts from the last moment at which the registrations were known.
 
+use crate::streams::Origin;
 use crate::upstream::{State, Upstream, UpstreamId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -245,6 +246,15 @@
         self.upstreams.values()
     }
 
+    /// The versions of all upstreams, by service.
+    pub fn versions(&self) -> BTreeSet<Origin> {
+        let origin = |upstream: &Upstream| Origin {
+            service: upstream.service.clone(),
+            version: upstream.version.clone(),
+        };
+        self.upstreams.values().map(origin).collect()
+    }
+
     /// The upstreams that accept new requests, by service.
     pub fn ready(&self) -> BTreeMap<Box<str>, Vec<Upstream>> {
         let mut services: BTreeMap<Box<str>, Vec<Upstream>> = BTreeMap::new();
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -38,10 +38,12 @@
 mod service_times;
 mod settings;
 pub mod stored;
+pub mod streams;
 pub mod table;
 pub mod time_offset;
 pub mod upstream;
 pub mod usage;
+pub mod versions;
 pub mod watch;
 pub mod zone_share;
 
--- a/core/src/peers.rs
+++ b/core/src/peers.rs
@@ -151,6 +151,13 @@
         keepers
     }
 
+    /// Place of this entry among those that keep what is known of `key`; that of one that does not keep it is the last.
+    pub fn rank(&self, key: u64) -> usize {
+        let ranked = self.ranked(key);
+        let place = ranked.iter().position(|address| *address == self.own);
+        place.unwrap_or(ranked.len())
+    }
+
     fn ranked(&self, key: u64) -> Vec<SocketAddr> {
         let known = self.addresses().chain([self.own]);
         let mut keepers: Vec<_> = known
--- a/core/src/table.rs
+++ b/core/src/table.rs
@@ -97,6 +97,13 @@
 }
 
 impl Route {
+    /// Whether requests may be sent to `service`.
+    pub fn leads_to(&self, service: &str) -> bool {
+        let mut backends = self.backends.iter();
+        let is_only = backends.len() == 1;
+        backends.any(|(name, weight)| **name == *service && (is_only || *weight > 0))
+    }
+
     /// The service for a request, chosen by weight with the random number `random`; `None` if the weights
     /// add up to 0.
     pub fn service(&self, random: u64) -> Option<&str> {
--- a/router/src/backend.rs
+++ b/router/src/backend.rs
@@ -5,6 +5,7 @@
 use almondwell_core::hash;
 use almondwell_core::job::PartId;
 use almondwell_core::quota::Quota;
+use almondwell_core::streams::{Recent, StreamId};
 use almondwell_core::upstream::Upstream;
 use almondwell_platform::headers::Load;
 use async_std::io;
@@ -73,6 +74,8 @@
     rest_until: Duration,
     /// Shared prompt parts that it has prefilled for this entry, with the time of their last use.
     parts: BTreeMap<PartId, Duration>,
+    /// Streams that it began or continued, with the time of their first event from it.
+    streams: Recent,
 }
 
 /// A request that waits for its first token; dropping it removes it from the backlog.
@@ -330,6 +333,16 @@
         state.failures_at = now;
     }
 
+    /// Records that the first event of a stream has arrived from it.
+    pub(crate) fn record_stream(&self, now: Duration, stream: StreamId) {
+        self.lock().streams.push(now, stream);
+    }
+
+    /// Streams whose first event has arrived from it since `since`.
+    pub(crate) fn streams_since(&self, since: Duration) -> Vec<StreamId> {
+        self.lock().streams.since(since)
+    }
+
     /// Adds a request with `tokens` of prefill to the backlog, and records the use of `part`, the last of its
     /// shared prompt parts.
     pub(crate) fn enqueue(
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -14,7 +14,7 @@
 use crate::response::Head;
 use crate::router::Router;
 use crate::selection::{Selection, select};
-use crate::{overload, send_log, stopping, usage};
+use crate::{lifetime, overload, send_log, stopping, usage};
 use almondwell_core::table::Retry;
 use almondwell_platform::headers::{self, Envelope, Phase};
 use almondwell_schema::Verdict;
@@ -69,7 +69,13 @@
             Selection::Limited if history.sends == 0 => return overload::refuse_limited(delivery),
             Selection::Limited => return give_up(delivery, history, Reason::UpstreamsFull).await,
             Selection::Overloaded(wait) => return overload::refuse_overloaded(delivery, wait),
-            Selection::None => return give_up(delivery, history, Reason::NoUpstream).await,
+            Selection::None => {
+                let reason = match delivery.admitted.version {
+                    Some(_) => Reason::VersionGone,
+                    None => Reason::NoUpstream,
+                };
+                return give_up(delivery, history, reason).await;
+            }
         };
         history.tried.push(backend.upstream.id.clone());
         let is_retry = history.sends > 0;
@@ -79,7 +85,7 @@
         if is_retry && !take_retry(delivery) {
             return give_up(delivery, history, Reason::RetriesSpent).await;
         }
-        let Some((connection, is_reused)) = connect(delivery, &backend).await else {
+        let Some((connection, is_reused)) = connect(delivery, &history, &backend).await else {
             history.failed_connects += 1;
             if history.failed_connects >= MAX_FAILED_CONNECTS {
                 return give_up(delivery, history, Reason::NoUpstream).await;
@@ -154,9 +160,20 @@
     router.services.take_retry(router.now(), &admitted.service)
 }
 
-async fn connect(delivery: Delivery<'_>, backend: &Arc<Backend>) -> Option<(Connection, bool)> {
+async fn connect(
+    delivery: Delivery<'_>,
+    history: &History,
+    backend: &Arc<Backend>,
+) -> Option<(Connection, bool)> {
     let is_retryable = delivery.admitted.route.retry != Retry::Never;
     match backend.connection(is_retryable, remaining(delivery)).await {
+        // Only the registered version of the engine may continue the stream.
+        Ok((connection, is_reused))
+            if delivery.admitted.is_engine && history.version(delivery).is_some() =>
+        {
+            let confirmed = lifetime::confirm(connection, backend).await;
+            confirmed.map(|connection| (connection, is_reused))
+        }
         Ok(connection) => Some(connection),
         Err(error) => {
             backend.record_failure(delivery.router.now());
@@ -316,7 +333,7 @@
         return SendOutcome::Error(Error::InvalidResponse);
     }
     let is_stream = delivery.admitted.route.is_stream && head.is_event_stream;
-    if !history.accept(delivery, is_stream, head) {
+    if !history.accept(delivery, backend, is_stream, head) {
         return SendOutcome::Error(Error::InvalidResponse);
     }
     let relayed = if is_stream {
--- a/router/src/dispatch.rs
+++ b/router/src/dispatch.rs
@@ -7,7 +7,7 @@
 use crate::refusal::{Reason, Refusal};
 use crate::request::Request;
 use crate::router::{Router, milliseconds};
-use crate::{stopping, usage};
+use crate::{continuation, stopping, usage};
 use almondwell_core::hash;
 use almondwell_core::table::{Rank, Route, Table, Workspace};
 use almondwell_daemon::disconnected;
@@ -52,6 +52,8 @@
     pub(crate) rank: Rank,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Box<str>,
+    /// The only version that may serve the request, if it continues a stream.
+    pub(crate) version: Option<Box<str>>,
     pub(crate) workspace: Option<Arc<Workspace>>,
 }
 
@@ -157,7 +159,7 @@
     caller: &TcpStream,
     client: &Client,
 ) -> Outcome {
-    let admitted = match admit(router, request) {
+    let admitted = match admit(router, request).await {
         Ok(admitted) => admitted,
         Err(refusal) => {
             let outcome = Outcome::Refused(refusal);
@@ -287,13 +289,18 @@
     Ok((route, workspace))
 }
 
-fn admit(router: &Router, request: &Request) -> Result<Admitted, Refusal> {
+async fn admit(router: &Router, request: &Request) -> Result<Admitted, Refusal> {
+    let continuation = {
+        let table = active_table(router)?;
+        let (route, _) = authorize(router, &table, request)?;
+        continuation::find(router, route, request).await
+    };
+    // The configuration may have changed meanwhile.
     let table = active_table(router)?;
     let (route, workspace) = authorize(router, &table, request)?;
     let job = &request.job;
-    let service = route
-        .service(rand::rng().random())
-        .ok_or_else(|| Refusal::retryable(Reason::NoUpstream, retry_after()))?;
+    let (service, version) = continuation.destination(router, route)?;
+    let service = &*service;
     let fingerprint = fingerprint(request);
     if crash::is_fatal(router, request, fingerprint) {
         return Err(Refusal::retryable(Reason::Quarantined, retry_after()));
@@ -312,6 +319,7 @@
         rank: table.rank(workspace.map(|workspace| &**workspace), route),
         route: route.clone(),
         service: service.into(),
+        version,
         workspace: workspace.cloned(),
     })
 }
--- a/router/src/history.rs
+++ b/router/src/history.rs
@@ -1,5 +1,6 @@
 //! Sends of one request so far, and what they imply for the next one.
 
+use crate::backend::Backend;
 use crate::delivery::{Delivery, Failure};
 use crate::events::Events;
 use crate::response::Head;
@@ -17,6 +18,8 @@
     stream_is_typed: Option<bool>,
     /// Identifiers of the upstreams that were tried.
     pub(crate) tried: Vec<Box<str>>,
+    /// Version of the upstream whose response the caller has the start of.
+    version: Option<Box<str>>,
 }
 
 impl History {
@@ -27,14 +30,31 @@
         }
     }
 
-    /// Records the head of a successful response; returns whether the caller may get it. A caller that has the start of
+    /// The version that alone may serve the request, if its caller has a part of a stream.
+    pub(crate) fn version<'a>(&'a self, delivery: Delivery<'a>) -> Option<&'a str> {
+        let version = if delivery.progress.has_started() {
+            &self.version
+        } else {
+            &delivery.admitted.version
+        };
+        version.as_deref()
+    }
+
+    /// Records the head of a successful response of `backend`; returns whether the caller may get it. A caller that has the start of
     /// a response gets only the events that continue its stream.
-    pub(crate) fn accept(&mut self, delivery: Delivery<'_>, is_stream: bool, head: &Head) -> bool {
+    pub(crate) fn accept(
+        &mut self,
+        delivery: Delivery<'_>,
+        backend: &Backend,
+        is_stream: bool,
+        head: &Head,
+    ) -> bool {
         if delivery.progress.has_started() {
             // A response that does not state its type may be a stream, but only if the start did not state it either.
             return is_stream && (head.is_typed || self.stream_is_typed == Some(false));
         }
         self.stream_is_typed = is_stream.then_some(head.is_typed);
+        self.version = Some(backend.upstream.version.clone());
         true
     }
 
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -18,6 +18,12 @@
     pub(crate) reason: &'static str,
 }
 
+/// Label of the counter of resumed streams.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct Source {
+    pub(crate) source: &'static str,
+}
+
 /// Label of the counters of fetches.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct Fetch {
@@ -36,6 +42,8 @@
     /// Connections closed for new ones.
     pub(crate) connections_evicted: Counter,
     pub(crate) connections_refused: Counter,
+    /// Requests that continue a stream, by how its origin was found.
+    pub(crate) continuations: Family<Source, Counter>,
     /// Bytes that clients make the process hold.
     pub(crate) held_bytes: Gauge,
     /// Requests refused for lack of memory.
@@ -52,6 +60,8 @@
     pub(crate) loads_merged: Counter,
     pub(crate) resumed: Counter,
     pub(crate) retries: Counter,
+    pub(crate) stream_writes: Counter,
+    pub(crate) streams_unrecorded: Counter,
     pub(crate) table_version: Gauge,
     pub(crate) duration: Histogram,
     pub(crate) usage_clock_error: Gauge,
@@ -64,6 +74,7 @@
         Self {
             connections_evicted: Counter::default(),
             connections_refused: Counter::default(),
+            continuations: Family::default(),
             held_bytes: Gauge::default(),
             no_room: Counter::default(),
             requests_evicted: Counter::default(),
@@ -77,6 +88,8 @@
             loads_merged: Counter::default(),
             resumed: Counter::default(),
             retries: Counter::default(),
+            stream_writes: Counter::default(),
+            streams_unrecorded: Counter::default(),
             table_version: Gauge::default(),
             duration: Histogram::new(BUCKETS),
             usage_clock_error: Gauge::default(),
@@ -147,6 +160,7 @@
             self.table_version.clone(),
         );
         self.register_limits(&mut registry);
+        self.register_streams(&mut registry);
         registry.register(
             "usage_clock_error_ms",
             "Difference of the wall clock from the time that the entries agree on",
@@ -165,6 +179,24 @@
         registry
     }
 
+    fn register_streams(&self, registry: &mut Registry) {
+        registry.register(
+            "stream_continuations",
+            "Requests that continue a stream, by how its origin was found",
+            self.continuations.clone(),
+        );
+        registry.register(
+            "stream_writes",
+            "Writes of the origins of streams to the store",
+            self.stream_writes.clone(),
+        );
+        registry.register(
+            "streams_unrecorded",
+            "Streams whose origin was not recorded, since too many are",
+            self.streams_unrecorded.clone(),
+        );
+    }
+
     fn register_limits(&self, registry: &mut Registry) {
         registry.register(
             "connections_evicted",
@@ -193,6 +225,10 @@
         );
     }
 
+    pub(crate) fn record_continuation(&self, source: &'static str) {
+        self.continuations.get_or_create(&Source { source }).inc();
+    }
+
     pub(crate) fn record_request(
         &self,
         outcome: &'static str,
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -4,6 +4,7 @@
 use crate::crash::{self, Merged};
 use crate::loads;
 use crate::router::Router;
+use crate::streams;
 use crate::usage;
 use almondwell_core::causes::{Cause, is_known_widely};
 use almondwell_schema::{Datagram, Digest, Suspect, SuspectPart};
@@ -81,12 +82,25 @@
     lock_peers(router).keepers(key)
 }
 
+/// Whether this entry is one of those that keep what is known of `key`.
+pub(crate) fn keeps(router: &Router, key: u64) -> bool {
+    lock_peers(router).keeps(key)
+}
+
+/// Place of this entry among those that keep what is known of `key`.
+pub(crate) fn rank(router: &Router, key: u64) -> u32 {
+    u32::try_from(lock_peers(router).rank(key)).unwrap_or(u32::MAX)
+}
+
 /// Receives and handles datagrams from other entries, forever.
 pub(crate) async fn receive(router: Arc<Router>) {
     loop {
         match router.socket.receive().await {
             Ok((Datagram::Digest(digest), _)) => handle_digest(&router, digest).await,
             Ok((Datagram::EngineLoads(received), _)) => loads::merge(&router, &received),
+            Ok((Datagram::StreamMessage(message), from)) => {
+                streams::handle(&router, message, from).await;
+            }
             Ok((Datagram::Suspect(suspect), from)) => {
                 let cause = Cause::Request(suspect.fingerprint);
                 handle_suspect(&router, cause, &suspect, from).await;
--- a/router/src/refusal.rs
+++ b/router/src/refusal.rs
@@ -23,8 +23,10 @@
     Stopping,
     UnknownKey,
     UnknownRoute,
+    UnknownStream,
     UpstreamFailed,
     UpstreamsFull,
+    VersionGone,
 }
 
 impl Reason {
@@ -45,8 +47,10 @@
             Self::Stopping => "stopping",
             Self::UnknownKey => "unknown_key",
             Self::UnknownRoute => "unknown_route",
+            Self::UnknownStream => "unknown_stream",
             Self::UpstreamFailed => "upstream_failed",
             Self::UpstreamsFull => "upstreams_full",
+            Self::VersionGone => "version_gone",
         }
     }
 }
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -10,7 +10,7 @@
 use crate::framing::{Decoder, Framing, LAST_CHUNK, write_chunk};
 use crate::refusal::{Reason, Refusal};
 use crate::response::Head;
-use crate::usage;
+use crate::{streams, usage};
 use async_std::io::WriteExt;
 use std::sync::Arc;
 use std::time::Duration;
@@ -221,6 +221,9 @@
         drop(chunk);
         delivery.client.resize(before, events.capacity());
         if !complete.is_empty() {
+            if first_event_at.is_none() {
+                streams::record(delivery, backend);
+            }
             record_first_token(delivery);
             usage::record_token(delivery);
             let now = delivery.router.now();
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -9,6 +9,7 @@
 use crate::metrics::Metrics;
 use crate::services::Services;
 use crate::stopping::Class;
+use crate::streams::{self, Streams};
 use crate::usage::Usage;
 use almondwell_core::answer_times::{self, AnswerTimes};
 use almondwell_core::causes::Causes;
@@ -69,6 +70,7 @@
     /// Socket for datagrams between entries.
     pub(crate) socket: Socket,
     pub(crate) store: Store,
+    pub(crate) streams: Streams,
     /// Store revision that the list of upstreams reflects.
     revision: AtomicU64,
     pub(crate) usage: Usage,
@@ -120,6 +122,7 @@
             regions,
             socket,
             store: Store::new(settings.store),
+            streams: Streams::new(&settings),
             usage: Usage::new(&settings),
             settings,
             revision: AtomicU64::new(0),
@@ -255,13 +258,37 @@
             upstreams.sort_by_cached_key(|upstream| placement::sort_key(&upstream.id));
             let list = upstreams
                 .into_iter()
-                .map(|upstream| backend_for(&mut backends, upstream))
+                .map(|upstream| self.backend_for(&mut backends, upstream))
                 .collect();
             ready.insert(service, list);
         }
+        self.streams.set_registered(fleet.versions());
         self.ready.store(Arc::new(ready));
     }
 
+    /// The backend of an upstream. One whose address, service, start time or version has changed gets a new backend.
+    fn backend_for(
+        &self,
+        backends: &mut BTreeMap<UpstreamId, Arc<Backend>>,
+        upstream: Upstream,
+    ) -> Arc<Backend> {
+        if let Some(existing) = backends.get(&upstream.id) {
+            let is_same = existing.upstream.address == upstream.address
+                && existing.upstream.started_ms == upstream.started_ms
+                && existing.upstream.service == upstream.service
+                && existing.upstream.version == upstream.version;
+            if is_same {
+                return existing.clone();
+            }
+            existing.close_idle(false);
+            streams::record_restart(self, existing, &upstream);
+        }
+        let id = upstream.id.clone();
+        let created = Arc::new(Backend::new(upstream));
+        backends.insert(id, created.clone());
+        created
+    }
+
     /// Closes connections that have exceeded their idle timeout.
     pub(crate) fn close_stale(&self) {
         let backends = self.backends.lock().unwrap_or_else(PoisonError::into_inner);
@@ -290,24 +317,3 @@
 pub(crate) fn milliseconds(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
-
-/// The backend of an upstream. One whose address, service, start time or version has changed gets a new backend.
-fn backend_for(
-    backends: &mut BTreeMap<UpstreamId, Arc<Backend>>,
-    upstream: Upstream,
-) -> Arc<Backend> {
-    if let Some(existing) = backends.get(&upstream.id) {
-        let is_same = existing.upstream.address == upstream.address
-            && existing.upstream.started_ms == upstream.started_ms
-            && existing.upstream.service == upstream.service
-            && existing.upstream.version == upstream.version;
-        if is_same {
-            return existing.clone();
-        }
-        existing.close_idle(false);
-    }
-    let id = upstream.id.clone();
-    let created = Arc::new(Backend::new(upstream));
-    backends.insert(id, created.clone());
-    created
-}
--- a/router/src/selection.rs
+++ b/router/src/selection.rs
@@ -1,7 +1,7 @@
 //! Selection of the upstream for a send.
 
 use crate::backend::{Backend, View};
-use crate::delivery::Delivery;
+use crate::delivery::{Delivery, remaining};
 use crate::history::History;
 use crate::zones;
 use almondwell_core::backlog::Report;
@@ -39,6 +39,11 @@
     let Some(band) = delivery.admitted.band.clone() else {
         return select_among(delivery, history, None, backends);
     };
+    if delivery.admitted.version.is_some() {
+        // The caller has the start of the stream, and only these upstreams can continue it.
+        let limit = remaining(delivery).mul_f64(QUEUE_SHARE);
+        return select_among(delivery, history, Some(limit), backends);
+    }
     let limit = wait_limit(delivery);
     let in_band = backends.get(band.clone()).unwrap_or(backends);
     // Later bands serve requests that tolerate longer pauses than this request causes at their engines.
@@ -103,9 +108,11 @@
     let now = router.now();
     let entries = router.services.entries();
     let mut rng = rand::rng();
+    let version = history.version(delivery);
     let mut eligible: Vec<_> = backends
         .iter()
         .filter(|backend| !backend.is_gone() && !history.tried.contains(&backend.upstream.id))
+        .filter(|backend| version.is_none_or(|version| *backend.upstream.version == *version))
         .collect();
     let count = eligible.len();
     eligible.retain(|backend| backend.is_open(now, entries, rng.random()));
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -3,7 +3,8 @@
 use crate::connection::limit_receive_buffers;
 use crate::router::Router;
 use crate::{
-    caller, cause_objects, duties, endpoints, fetches, loads, peers, reports, usage, watch,
+    caller, cause_objects, duties, endpoints, fetches, loads, peers, reports, stream_objects,
+    usage, watch,
 };
 use almondwell_core::upstream::Upstream;
 use almondwell_daemon::{signals, wait_for_stop};
@@ -24,6 +25,8 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 /// Time in which the requests that are still running are answered before the process exits.
 const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+/// Time in which the origins of the last streams are stored; other entries mostly know them too.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
 /// Interval between checks whether the running requests of a draining process have finished.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -63,6 +66,8 @@
     }
     task::spawn(cause_objects::follow(router.clone()));
     task::spawn(cause_objects::write(router.clone()));
+    task::spawn(stream_objects::keep_versions(router.clone()));
+    task::spawn(stream_objects::write(router.clone()));
     if duties::is_enabled(&router.settings) {
         task::spawn(duties::keep(router.clone()));
         task::spawn(reports::send(router.clone()));
@@ -115,6 +120,7 @@
     router.drain.finish();
     wait_until_idle(router, start + limit).await;
     usage::finish(router).await;
+    stream_objects::flush(router, FLUSH_TIME).await;
     release.await;
     spdlog::info!("router stopped", kv: {
         id = router.settings.id.as_ref(), active = router.drain.active()
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -348,6 +348,96 @@
 pub struct EngineLoads {
     pub loads: Vec<EngineLoad>,
 }
+/// Hash of the identifier of the attempt that began a stream.
+pub type StreamId = u64;
+/// Streams that began, or go on, at a version of a service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamBegun {
+    pub service: Box<str>,
+    /// Version of the upstream's software.
+    pub version: Box<str>,
+    pub streams: Vec<StreamId>,
+    /// Time until the record expires.
+    pub lifetime: Duration,
+}
+/// Streams whose records the sender has stored.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamsWritten {
+    pub streams: Vec<StreamId>,
+}
+/// Asks where a stream began.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamQuery {
+    pub stream: StreamId,
+}
+/// Version of a service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamOrigin {
+    pub service: Box<str>,
+    /// Version of the upstreams' software.
+    pub version: Box<str>,
+}
+/// Answers where a stream began.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamReply {
+    pub stream: StreamId,
+    /// None if the sender has no record, several if records differ.
+    pub origins: Vec<StreamOrigin>,
+    /// Time until the record expires.
+    pub left: Duration,
+}
+/// Message between entries on where streams began.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum StreamMessage {
+    StreamBegun(StreamBegun),
+    StreamQuery(StreamQuery),
+    StreamReply(StreamReply),
+    StreamsWritten(StreamsWritten),
+}
+impl From<StreamBegun> for StreamMessage {
+    fn from(value: StreamBegun) -> Self {
+        Self::StreamBegun(value)
+    }
+}
+impl From<StreamQuery> for StreamMessage {
+    fn from(value: StreamQuery) -> Self {
+        Self::StreamQuery(value)
+    }
+}
+impl From<StreamReply> for StreamMessage {
+    fn from(value: StreamReply) -> Self {
+        Self::StreamReply(value)
+    }
+}
+impl From<StreamsWritten> for StreamMessage {
+    fn from(value: StreamsWritten) -> Self {
+        Self::StreamsWritten(value)
+    }
+}
+/// A stream in a stored shard.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoredStream {
+    pub stream: StreamId,
+    /// Seconds until the record expires, at the time of writing.
+    pub left_s: u32,
+}
+/// Streams that began at the same version of a service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamGroup {
+    pub service: Box<str>,
+    pub version: Box<str>,
+    pub streams: Vec<StoredStream>,
+}
+/// A part of the recent streams, as stored.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamShard {
+    pub groups: Vec<StreamGroup>,
+}
+/// The versions of all services that may have begun a stream lately, as stored.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamVersions {
+    pub versions: Vec<StreamOrigin>,
+}
 /// UDP message between two processes.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Datagram {
@@ -366,6 +456,7 @@
     EngineLoads(EngineLoads),
     Usage(Usage),
     UsageAck(UsageAck),
+    StreamMessage(StreamMessage),
 }
 impl From<Alive> for Datagram {
     fn from(value: Alive) -> Self {
@@ -442,6 +533,11 @@
         Self::UsageAck(value)
     }
 }
+impl From<StreamMessage> for Datagram {
+    fn from(value: StreamMessage) -> Self {
+        Self::StreamMessage(value)
+    }
+}
 /// One HTTP header.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Header {
@@ -1421,6 +1517,8 @@
     pub admin: SocketAddr,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Write calls a second that the store accepts from all entries together.
+    pub store_writes: u32,
     /// Control addresses of entries to begin with, separated by commas.
     pub seeds: Vec<SocketAddr>,
     /// Key that seals traffic between entries.
@@ -1478,6 +1576,7 @@
             control: crate::parse_default("127.0.0.1:8081"),
             admin: crate::parse_default("127.0.0.1:8082"),
             store: crate::parse_default("127.0.0.1:8000"),
+            store_writes: crate::parse_default("400"),
             seeds: crate::parse_default(""),
             secret: crate::parse_default(""),
             connections: crate::parse_default("3000"),
@@ -1550,6 +1649,11 @@
             default: "127.0.0.1:8000",
             description: "Address of the platform's store.",
         },
+        Key {
+            name: "store_writes",
+            default: "400",
+            description: "Write calls a second that the store accepts from all entries together.",
+        },
         Key {
             name: "seeds",
             default: "",
@@ -1699,6 +1803,10 @@
                 self.store = <SocketAddr as Setting>::read(value)
                     .ok_or(Unset::Expected(<SocketAddr as Setting>::EXPECTED))?;
             }
+            "store_writes" => {
+                self.store_writes = <u32 as Setting>::read(value)
+                    .ok_or(Unset::Expected(<u32 as Setting>::EXPECTED))?;
+            }
             "seeds" => {
                 self.seeds = <Vec<SocketAddr> as Setting>::read(value)
                     .ok_or(Unset::Expected(<Vec<SocketAddr> as Setting>::EXPECTED))?;
--- a/side/src/control.rs
+++ b/side/src/control.rs
@@ -58,6 +58,7 @@
         | Datagram::Queued(_)
         | Datagram::Refuse(_)
         | Datagram::EngineLoads(_)
+        | Datagram::StreamMessage(_)
         | Datagram::SuspectPart(_)
         | Datagram::Usage(_)
         | Datagram::UsageAck(_) => {
