Store the origins of streams at once, in an object of recent changes

Cause: most streams last about a second, so that most of those that a kill breaks off began within the second before; records were stored after 0.5 s and a check each 0.25 s, and what had not been stored was lost.

The first keeper now stores a record at once, but not more often than each 0.2 s while several versions are in use and each 0.5 s otherwise. Writes are short, since they hold what has changed since the last write of the whole shard, at most 2 s before; there are fewer shards in return.

--- a/core/src/streams.rs
+++ b/core/src/streams.rs
@@ -55,14 +55,33 @@
 /// Streams of one origin, each with the time until its record expires.
 pub type Group = (Arc<Origin>, Vec<(StreamId, Duration)>);
 
+/// How far a record has been stored.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Stage {
+    /// In the complete object of its shard.
+    Complete,
+    /// In the object of recent changes only.
+    Recent,
+    /// Nowhere since it changed at this time.
+    Unwritten(Duration),
+}
+
+/// Which records of a shard an object holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Extent {
+    /// All.
+    Complete,
+    /// Those that have changed since the complete object was written.
+    Recent,
+}
+
 #[derive(Clone, Debug)]
 struct Record {
     /// Another origin of the same stream.
     conflict: Option<Arc<Origin>>,
     expires_at: Duration,
     origin: Arc<Origin>,
-    /// When the record changed, unless it has been stored since then.
-    unwritten_since: Option<Duration>,
+    stage: Stage,
 }
 
 impl Record {
@@ -148,10 +167,10 @@
         is_unwritten: bool,
     ) -> bool {
         let key = (self.shard(stream), stream);
-        let since = is_unwritten.then_some(now);
         if let Some(record) = self.records.get_mut(&key) {
-            if record.merge(origin, expires_at) {
-                record.unwritten_since = record.unwritten_since.or(since);
+            let is_written = !matches!(record.stage, Stage::Unwritten(_));
+            if record.merge(origin, expires_at) && is_unwritten && is_written {
+                record.stage = Stage::Unwritten(now);
             }
             return true;
         }
@@ -165,7 +184,11 @@
             conflict: None,
             expires_at,
             origin: origin.clone(),
-            unwritten_since: since,
+            stage: if is_unwritten {
+                Stage::Unwritten(now)
+            } else {
+                Stage::Complete
+            },
         };
         self.records.insert(key, record);
         true
@@ -198,24 +221,24 @@
             .filter(|record| record.expires_at > now)
     }
 
-    /// Shards with records that have been unwritten for the time that `delay` returns for the shard.
-    pub fn due(&self, now: Duration, mut delay: impl FnMut(Shard) -> Duration) -> Vec<Shard> {
+    /// Shards with records to store, each with the time since when its oldest one is unwritten.
+    pub fn unwritten_shards(&self) -> BTreeMap<Shard, Duration> {
         let mut oldest: BTreeMap<Shard, Duration> = BTreeMap::new();
         for ((shard, _), record) in &self.records {
-            if let Some(since) = record.unwritten_since {
+            if let Stage::Unwritten(since) = record.stage {
                 let oldest = oldest.entry(*shard).or_insert(since);
                 *oldest = since.min(*oldest);
             }
         }
-        oldest.retain(|shard, since| now >= *since + delay(*shard));
-        oldest.into_keys().collect()
+        oldest
     }
 
     /// The live records of a shard, as they are stored.
-    pub fn groups(&self, now: Duration, shard: Shard) -> Vec<Group> {
+    pub fn groups(&self, now: Duration, shard: Shard, extent: Extent) -> Vec<Group> {
         let mut groups: BTreeMap<Arc<Origin>, Vec<_>> = BTreeMap::new();
         for (stream, record) in self.shard_records(shard) {
-            if record.expires_at <= now {
+            let is_left_out = extent == Extent::Recent && record.stage == Stage::Complete;
+            if record.expires_at <= now || is_left_out {
                 continue;
             }
             let left = record.expires_at.saturating_sub(now);
@@ -235,7 +258,7 @@
     /// The streams of a shard whose records are not stored yet.
     pub fn unwritten(&self, shard: Shard) -> Vec<StreamId> {
         self.shard_records(shard)
-            .filter(|(_, record)| record.unwritten_since.is_some())
+            .filter(|(_, record)| matches!(record.stage, Stage::Unwritten(_)))
             .map(|(stream, _)| stream)
             .collect()
     }
@@ -251,9 +274,19 @@
         for stream in streams {
             let key = (self.shard(*stream), *stream);
             if let Some(record) = self.records.get_mut(&key)
-                && record.unwritten_since.is_some_and(|since| since <= at)
+                && matches!(record.stage, Stage::Unwritten(since) if since <= at)
             {
-                record.unwritten_since = None;
+                record.stage = Stage::Recent;
+            }
+        }
+    }
+
+    /// Records that the complete object of a shard has been written as it was at `at`.
+    pub fn mark_complete(&mut self, at: Duration, shard: Shard) {
+        let range = (shard, StreamId::MIN)..=(shard, StreamId::MAX);
+        for (_, record) in self.records.range_mut(range) {
+            if !matches!(record.stage, Stage::Unwritten(since) if since > at) {
+                record.stage = Stage::Complete;
             }
         }
     }
--- a/core/tests/streams.rs
+++ b/core/tests/streams.rs
@@ -1,6 +1,6 @@
 //! Records of where streams began.
 
-use almondwell_core::streams::{Known, Options, Origin, StreamId, Streams};
+use almondwell_core::streams::{Extent, Known, Options, Origin, Recent, StreamId, Streams};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,7 +33,7 @@
     let mut restarted = self::streams();
     for shard in 0..2 {
         let groups: Vec<_> = streams
-            .groups(now, shard)
+            .groups(now, shard, Extent::Complete)
             .into_iter()
             .map(|(origin, streams)| ((*origin).clone(), streams))
             .collect();
@@ -77,7 +77,7 @@
     streams.record(Duration::ZERO, 1, &origin("v1"), LIFETIME, true);
     for at in 1..=30 {
         let groups: Vec<_> = streams
-            .groups(seconds(at), 1)
+            .groups(seconds(at), 1, Extent::Complete)
             .into_iter()
             .map(|(origin, _)| ((*origin).clone(), vec![(1, LIFETIME)]))
             .collect();
@@ -109,14 +109,41 @@
 }
 
 #[test]
-fn a_shard_is_due_after_its_delay() {
+fn a_shard_is_unwritten_since_its_oldest_record() {
     let mut streams = streams();
     streams.record(seconds(1), 1, &origin("v1"), LIFETIME, true);
-    streams.record(seconds(2), 2, &origin("v1"), LIFETIME, true);
-    let due = |at| streams.due(seconds(at), |_| seconds(2));
-    assert!(due(2).is_empty());
-    assert_eq!(due(3), [1]);
-    assert_eq!(due(4), [0, 1]);
+    streams.record(seconds(2), 3, &origin("v1"), LIFETIME, true);
+    streams.record(seconds(3), 2, &origin("v1"), LIFETIME, true);
+    let unwritten = streams.unwritten_shards();
+    assert_eq!(unwritten, [(0, seconds(3)), (1, seconds(1))].into());
+}
+
+/// Guards against records that are in neither object, since one of the two is written without them.
+#[test]
+fn recent_records_are_those_that_the_complete_object_lacks() {
+    let mut streams = streams();
+    let recent = |streams: &Streams| -> Vec<StreamId> {
+        let groups = streams.groups(seconds(3), 1, Extent::Recent);
+        let streams = groups.into_iter().flat_map(|(_, streams)| streams);
+        streams.map(|(stream, _)| stream).collect()
+    };
+    streams.record(seconds(1), 1, &origin("v1"), LIFETIME, true);
+    streams.mark_written(seconds(1), &[1]);
+    assert_eq!(recent(&streams), [1]);
+    streams.record(seconds(3), 3, &origin("v1"), LIFETIME, true);
+    streams.mark_complete(seconds(2), 1);
+    assert_eq!(recent(&streams), [3]);
+    assert_eq!(streams.unwritten(1), [3]);
+}
+
+#[test]
+fn recent_streams_of_an_upstream_are_forgotten() {
+    let mut recent = Recent::default();
+    recent.push(seconds(0), 1);
+    recent.push(seconds(70), 2);
+    recent.push(seconds(80), 3);
+    assert_eq!(recent.since(Duration::ZERO), [2, 3]);
+    assert_eq!(recent.since(seconds(80)), [3]);
 }
 
 /// Guards against memory that grows with the number of streams.
--- a/router/src/continuation.rs
+++ b/router/src/continuation.rs
@@ -4,8 +4,8 @@
 use crate::refusal::{Reason, Refusal};
 use crate::request::Request;
 use crate::router::Router;
-use crate::stream_objects;
 use crate::streams::{ask, id};
+use crate::{stream_objects, version_objects};
 use almondwell_core::streams::{Known, Origin, StreamId};
 use almondwell_core::table::Route;
 use almondwell_platform::Error;
@@ -110,7 +110,7 @@
             return (known, "store");
         }
     }
-    match stream_objects::refresh_versions(router, start).await {
+    match version_objects::refresh(router, start).await {
         Ok(()) => (Continuation::Sole, "no record"),
         Err(error) => (unreadable(&error), "store unreachable"),
     }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -46,6 +46,7 @@
 mod streams;
 mod upload;
 mod usage;
+mod version_objects;
 mod watch;
 mod zones;
 
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -4,7 +4,7 @@
 use crate::router::Router;
 use crate::{
     caller, cause_objects, duties, endpoints, fetches, loads, peers, reports, stream_objects,
-    usage, watch,
+    usage, version_objects, watch,
 };
 use almondwell_core::upstream::Upstream;
 use almondwell_daemon::{signals, wait_for_stop};
@@ -66,7 +66,7 @@
     }
     task::spawn(cause_objects::follow(router.clone()));
     task::spawn(cause_objects::write(router.clone()));
-    task::spawn(stream_objects::keep_versions(router.clone()));
+    task::spawn(version_objects::keep(router.clone()));
     task::spawn(stream_objects::write(router.clone()));
     if duties::is_enabled(&router.settings) {
         task::spawn(duties::keep(router.clone()));
--- a/router/src/streams.rs
+++ b/router/src/streams.rs
@@ -22,10 +22,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// Writes a second to the store that one shard may take while it changes all the time.
-const WRITES_PER_SHARD: u32 = 2;
-/// Share of the store's write calls that all shards may take together, as a divisor.
-const WRITE_SHARE_DIVISOR: u32 = 100;
+/// Writes a second to the store that one shard takes while it changes all the time.
+const WRITES_PER_SHARD: u32 = 5;
+/// Share of the store's write calls that all shards take together, as a divisor.
+const WRITE_SHARE_DIVISOR: u32 = 300;
 /// Time limits of a route for which a record is kept: a stream may last for one of them, and a caller may take some time
 /// before it resumes.
 const KEPT_TIMEOUTS: u32 = 2;
@@ -46,6 +46,8 @@
     registered: ArcSwap<BTreeSet<Origin>>,
     versions: Mutex<Versions>,
     pub(crate) version_checks: Demand,
+    /// Demand for a write of records to the store.
+    pub(crate) writes: Demand,
 }
 
 impl Streams {
@@ -63,6 +65,7 @@
             registered: ArcSwap::default(),
             versions: Mutex::default(),
             version_checks: Demand::default(),
+            writes: Demand::default(),
         }
     }
 
@@ -157,6 +160,9 @@
     if !is_recorded {
         router.metrics.streams_unrecorded.inc();
     }
+    if is_keeper {
+        router.streams.writes.request();
+    }
     let begun = StreamBegun {
         service: origin.service.clone(),
         version: origin.version.clone(),
@@ -244,6 +250,7 @@
             for stream in begun.streams {
                 known.record(now, stream, &origin, lifetime, true);
             }
+            router.streams.writes.request();
         }
         StreamMessage::StreamQuery(query) => {
             let (origins, left) = router.streams.lock().origins(now, query.stream);
--- /dev/null
+++ b/router/src/version_objects.rs
@@ -0,0 +1,115 @@
+//! The object in the store that lists the versions of services that may have begun a stream lately.
+
+use crate::peers;
+use crate::router::Router;
+use crate::stream_objects::{FOLDER, next_read, retry_delay};
+use almondwell_core::streams::Origin;
+use almondwell_platform::{Error, Expect, Written};
+use almondwell_schema::{StreamOrigin, StreamVersions, Version};
+use async_std::task;
+use rand::Rng;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Interval between checks whether a version has been unused for long.
+const PERIOD: Duration = Duration::from_mins(1);
+/// Share of the reads of entries that learn of a new version at the same moment: one read a millisecond.
+const SPREAD: Duration = Duration::from_millis(1);
+
+fn key() -> String {
+    format!("{FOLDER}/versions")
+}
+
+/// Reads the versions in use, unless that has been done since `since`.
+pub(crate) async fn refresh(router: &Router, since: Duration) -> Result<(), Error> {
+    let mut read_at = router.streams.reads.versions.lock().await;
+    if read_at.is_none_or(|at| at < since) {
+        let start = next_read(router, *read_at).await;
+        read(router).await?;
+        *read_at = Some(start);
+        if is_due(router) {
+            router.streams.version_checks.request();
+        }
+    }
+    Ok(())
+}
+
+/// Keeps the stored list of versions complete, forever.
+pub(crate) async fn keep(router: Arc<Router>) {
+    loop {
+        router.streams.version_checks.wait_for(PERIOD).await;
+        if !is_due(&router) {
+            continue;
+        }
+        let spread = SPREAD * u32::try_from(peers::count(&router)).unwrap_or(u32::MAX);
+        let delay = spread.mul_f64(rand::rng().random_range(0.0..1.0));
+        task::sleep(delay).await;
+        while let Err(error) = update(&router).await {
+            spdlog::debug!("storing the versions in use failed", kv: {
+                error = error.to_string()
+            });
+            task::sleep(retry_delay()).await;
+        }
+    }
+}
+
+fn is_due(router: &Router) -> bool {
+    let registered = router.streams.registered();
+    let mut versions = router.streams.lock_versions();
+    versions.observe(router.now(), &registered)
+}
+
+/// Adds the registered versions to the stored list, and removes those that have been unused for long.
+async fn update(router: &Router) -> Result<(), Error> {
+    loop {
+        let stored = read(router).await?;
+        let now = router.now();
+        let target = {
+            let registered = router.streams.registered();
+            let mut versions = router.streams.lock_versions();
+            if !versions.observe(now, &registered) {
+                return Ok(());
+            }
+            versions.target(now, &registered)
+        };
+        let listed = target.iter().map(|origin| StreamOrigin {
+            service: origin.service.clone(),
+            version: origin.version.clone(),
+        });
+        let value = serde_json::to_vec(&StreamVersions {
+            versions: listed.collect(),
+        })
+        .unwrap_or_default();
+        let expect = stored.map_or(Expect::Absent, Expect::Version);
+        if let Written::Done(_) = router.objects.put(&key(), &value, expect).await? {
+            log(&target);
+            router.streams.lock_versions().replace(now, target);
+            return Ok(());
+        }
+    }
+}
+
+fn log(listed: &BTreeSet<Origin>) {
+    let listed: Vec<_> = listed
+        .iter()
+        .map(|origin| format!("{} {}", origin.service, origin.version))
+        .collect();
+    spdlog::info!("versions in use changed", kv: { versions = listed.join(", ") });
+}
+
+/// Reads the stored list of versions; returns the object's version, `None` if it does not exist.
+async fn read(router: &Router) -> Result<Option<Version>, Error> {
+    let Some(stored) = router.objects.get(&key()).await? else {
+        return Ok(None);
+    };
+    // Content that cannot be decoded, such as that of another writer, is replaced by what this entry knows.
+    if let Ok(StreamVersions { versions }) = serde_json::from_slice(&stored.value) {
+        let listed = versions
+            .into_iter()
+            .map(|StreamOrigin { service, version }| Origin { service, version });
+        let mut versions = router.streams.lock_versions();
+        versions.replace(router.now(), listed);
+    }
+    Ok(Some(stored.version))
+}
