Continue lists of the store beside names that it refuses

One entry of another writer hid all upstreams and the configuration where the store does not accept its name in a query, such as with 400 or by closing the connection: the whole list failed, at each try, so that a restarted process served nothing while the entry stood.

Cause: a list continued after the last name of a page only. Evidence: refused_names on the code before, 12 of 14 cases red with `Answer("status 400")` (or 404, 500) and `Lost("connection closed")`.

A list now continues after an earlier name, at distances of 1, 2, 4 to 512; it then reads some items again and misses none. Where an entry fills its page, that gives nothing new, and the list continues after a plain name made up to sort just beyond the refused one. Names in between may be skipped, so the result is `Changes::Part`: what it holds is applied, nothing that it lacks is removed, the list is not announced to other entries, which may have all of it, and it is read again while nothing changes. Only 503 and 429, and connections that close after a plain name, fail the list. A page without names that has more no longer counts as the end of a list.

Weighed: names of the platform's sort order only, which may skip entries at each refused name; watching without a list, which lacks upstreams that do not change; an empty character after the name, which is refused as well.

Measured: refused_names 14 of 14, odd_names 5 of 5. foreign_entries and odd_entries now also fail on an incomplete list.

--- a/router/src/watch.rs
+++ b/router/src/watch.rs
@@ -58,8 +58,13 @@
                 failures = 0;
                 watch.record_answer(router.now(), start, limits);
                 let has_changed = is_change(kind, previous, &changes);
+                let is_part = matches!(changes, Changes::Part(_));
                 F::apply(&router, start, changes);
-                F::record_current(&router, cursor.revision());
+                if is_part {
+                    F::record_outage(&router);
+                } else if cursor.is_complete() {
+                    F::record_current(&router, cursor.revision());
+                }
                 if has_changed {
                     task::sleep(BATCH_DELAY).await;
                 }
@@ -86,7 +91,7 @@
 /// Whether `changes` holds changes from a watch, as opposed to a full list.
 fn is_change<R>(kind: Kind, previous: Option<Revision>, changes: &Changes<R>) -> bool {
     match changes {
-        Changes::All(_) => {
+        Changes::All(_) | Changes::Part(_) => {
             if let Some(revision) = previous {
                 spdlog::info!("objects were listed again", kv: {
                     kind = format!("{kind:?}"), revision
@@ -111,7 +116,7 @@
 
     fn apply(router: &Router, _start: Duration, changes: Changes<Self>) {
         match changes {
-            Changes::All(items) => items
+            Changes::All(items) | Changes::Part(items) => items
                 .into_iter()
                 .for_each(|item| apply_configuration(router, item)),
             Changes::Since(events) => events
@@ -139,6 +144,8 @@
                 fleet.confirm(start);
                 changes
             }
+            // An upstream that is missing may still be registered.
+            Changes::Part(items) => apply_part(fleet, now, items),
             Changes::Since(events) => {
                 fleet.record_watch(now, start);
                 let changes = events
@@ -190,6 +197,26 @@
     (name, change)
 }
 
+/// Applies an incomplete list.
+fn apply_part(
+    fleet: &mut Fleet,
+    now: Duration,
+    items: Vec<Item<Upstream>>,
+) -> Vec<(UpstreamId, Change)> {
+    let invalid = items.iter().filter(|item| item.record.is_err());
+    let invalid: Vec<_> = invalid.map(|item| item.name.clone()).collect();
+    let put = valid_upstreams(items).into_iter().map(|upstream| {
+        let id = upstream.id.clone();
+        (id, fleet.put(upstream))
+    });
+    let mut changes: Vec<_> = put.collect();
+    changes.extend(invalid.into_iter().map(|id| {
+        let change = fleet.remove(now, &id);
+        (id, change)
+    }));
+    changes
+}
+
 /// The valid registrations of a list. Another writer may have left thousands that are invalid.
 fn valid_upstreams(items: Vec<Item<Upstream>>) -> Vec<Upstream> {
     let (valid, invalid): (Vec<_>, Vec<_>) =
