Replace objects of another writer at almondwell's own names

Requests that crash engines were forgotten while an object that cannot be decoded (no base64, no JSON, another type) stood at the name under which entries keep them: after a restart they crashed engines anew. The same holds for parts of prompts and usage counts.

Cause: `Objects::get` failed on such an object, at each try, so that its version was not known and no write replaced it. Evidence: odd_objects on the code before, 6 of 6 red with `expected base64 text in spec.value`; router crashing_requests::remembers_crashing_requests_beside_an_unreadable_object, red: `6 further requests after 3`.

Stored work and its results stay as they are: with an unreadable one it is unknown whether the work has run. The ledger of a side retries as before.

Measured: odd_objects 6 of 6, the three remembers_ cases of the router pass.

--- a/almondwell/src/stored/accept.rs
+++ b/almondwell/src/stored/accept.rs
@@ -10,7 +10,7 @@
 use crate::job::Job;
 use crate::refusal::{Refusal, STORE_DOWN};
 use almondwell_core::ledger::{call_key, digest};
-use almondwell_platform::{Error, Expect, Written};
+use almondwell_platform::{Error, Expect, Object, Written};
 use almondwell_schema::{Verdict, Work, WorkId};
 use async_std::task;
 use http_types::{Request, Response, StatusCode};
@@ -97,6 +97,7 @@
     if job.key.is_some()
         && let Some(done) = entry.objects.get(&done_key(id)).await?
     {
+        ensure_readable(&done)?;
         return Ok(check_digest(
             work,
             decode_ended(&done.value).map(|ended| ended.digest),
@@ -114,6 +115,12 @@
         }
         Written::Conflict => {
             let object = entry.objects.get(&open_key(id)).await?;
+            if object
+                .as_ref()
+                .is_some_and(|object| object.value.is_empty())
+            {
+                return Err(Error::Answer("the stored work cannot be read".into()));
+            }
             let stored = object.and_then(|object| decode::<Work>(&object.value));
             // Work that has ended since the conflict was stored by an earlier attempt.
             let digest = stored.map_or(work.digest, |stored| stored.digest);
@@ -122,6 +129,14 @@
     }
 }
 
+/// Fails on an object without a value, of which it is unknown whether it is the work of this request.
+fn ensure_readable(object: &Object) -> Result<(), Error> {
+    if object.value.is_empty() {
+        return Err(Error::Answer("the stored work cannot be read".into()));
+    }
+    Ok(())
+}
+
 /// Refuses the request if its idempotency key was used for different work.
 fn check_digest(work: &Work, digest: Option<u64>) -> Result<(), Refusal> {
     if digest == Some(work.digest) {
--- a/almondwell/src/stored/run.rs
+++ b/almondwell/src/stored/run.rs
@@ -38,8 +38,9 @@
 async fn has_ended(entry: &Entry, item: &Item) -> bool {
     loop {
         match entry.objects.get(&done_key(item.id)).await {
-            Ok(done) => return done.is_some(),
-            Err(_) => task::sleep(jittered(MIN_RETRY_DELAY)).await,
+            Ok(None) => return false,
+            Ok(Some(done)) if !done.value.is_empty() => return true,
+            Ok(Some(_)) | Err(_) => task::sleep(jittered(MIN_RETRY_DELAY)).await,
         }
     }
 }
