Acquire a lease whose object cannot be decoded

No entry reported usage any more after another writer had replaced the lease object of the duties by one that cannot be decoded.

Cause: a read of such an object failed, so that no entry knew its version and the time since when it stands.

A read now records the version without a record. Whoever held the lease before may act until its end, so that the lease is acquired one lease after the version was first seen, with the highest number known from the holder or other entries. Counts that only the lease held are lost.

--- a/core/src/lease.rs
+++ b/core/src/lease.rs
@@ -317,7 +317,7 @@
 
     /// Records that a write took effect and gave the object this version.
     pub fn record_written(&mut self, now: Duration, write: Write, version: Version) {
-        self.record_read(now, Some((version, write.record)));
+        self.record_read(now, Some((version, Some(write.record))));
     }
 
     /// Records that the condition of a write did not hold.
@@ -342,14 +342,18 @@
         self.last_read_at = Some(now);
     }
 
-    /// Records the object as a read returned it.
-    pub fn record_read(&mut self, now: Duration, found: Option<(Version, LeaseRecord)>) {
+    /// Records the object as a read returned it; without a record if none can be decoded.
+    pub fn record_read(&mut self, now: Duration, found: Option<(Version, Option<LeaseRecord>)>) {
         self.needs_read = false;
         self.see(now, found);
     }
 
     /// Records the object as a read returned it that may be stale.
-    pub fn record_stale_read(&mut self, now: Duration, found: Option<(Version, LeaseRecord)>) {
+    pub fn record_stale_read(
+        &mut self,
+        now: Duration,
+        found: Option<(Version, Option<LeaseRecord>)>,
+    ) {
         let version = found.as_ref().map(|(version, _)| *version);
         // `None` is the least: an object that seems to be missing may have been created since.
         if self.seen.as_ref().is_none_or(|seen| version > seen.version) {
@@ -357,8 +361,9 @@
         }
     }
 
-    fn see(&mut self, now: Duration, found: Option<(Version, LeaseRecord)>) {
+    fn see(&mut self, now: Duration, found: Option<(Version, Option<LeaseRecord>)>) {
         let (version, record) = found.unzip();
+        let record = record.flatten();
         if self
             .seen
             .as_ref()
--- a/core/tests/lease/main.rs
+++ b/core/tests/lease/main.rs
@@ -120,7 +120,7 @@
     let write = first.acquire(time(3), 1, 0, 9);
     first.record_written(time(3), write, 1);
     let write = first.release(time(4), 2, Vec::new()).unwrap();
-    second.record_stale_read(time(4), Some((2, write.record.clone())));
+    second.record_stale_read(time(4), Some((2, Some(write.record.clone()))));
     assert_eq!(second.next(time(4), true), Step::Acquire);
     first.record_written(time(4), write, 2);
     assert_eq!(first.number(time(4)), None);
@@ -138,7 +138,7 @@
     lease.record_lost();
     assert_eq!(lease.number(time(3)), None);
     assert_eq!(lease.next(time(3), true), Step::Read);
-    lease.record_read(time(4), Some((1, write.record)));
+    lease.record_read(time(4), Some((1, Some(write.record))));
     assert_eq!(lease.number(time(4)), Some(1));
     // It counts from before the write and not from the read.
     assert_eq!(lease.end(), Some(time(6)));
--- a/core/tests/lease/world.rs
+++ b/core/tests/lease/world.rs
@@ -248,9 +248,9 @@
                 };
                 let lease = &mut self.processes[index].lease;
                 if is_stale {
-                    lease.record_stale_read(now, found);
+                    lease.record_stale_read(now, found.map(readable));
                 } else {
-                    lease.record_read(now, found);
+                    lease.record_read(now, found.map(readable));
                 }
             }
             Event::Tick => {
@@ -302,3 +302,8 @@
         }
     }
 }
+
+/// An object whose record can be decoded.
+fn readable((version, record): (Version, LeaseRecord)) -> (Version, Option<LeaseRecord>) {
+    (version, Some(record))
+}
--- a/router/src/duties.rs
+++ b/router/src/duties.rs
@@ -261,7 +261,7 @@
             }
         };
         let result = match timeout(self.call_limit(), read).await {
-            Ok(Ok(object)) => object.as_ref().map(decode).transpose(),
+            Ok(Ok(object)) => Ok(object.as_ref().map(decode)),
             Ok(Err(error)) => Err(error),
             Err(_) => Err(Error::Lost("no answer in time".into())),
         };
@@ -383,8 +383,7 @@
     }
 }
 
-fn decode(object: &Object) -> Result<(Version, LeaseRecord), Error> {
-    let record = serde_json::from_slice(&object.value)
-        .map_err(|error| Error::Answer(format!("lease object: {error}").into()))?;
-    Ok((object.version, record))
+/// The lease's version, and its record if it can be decoded.
+fn decode(object: &Object) -> (Version, Option<LeaseRecord>) {
+    (object.version, serde_json::from_slice(&object.value).ok())
 }
