Wait for the ports of a router that are taken when it starts

Seen: users report that processes did not start, or ended by themselves. Cause: `serve` bound `callers`, `ready`, `admin` and `control` once, and returned the first error: status 1. Any outgoing connection on the machine whose local port is the same suffices; its remains (FIN-WAIT, TIME-WAIT) keep the port taken for a minute. Change: the process tries again every 0.05 to 1 s until `callers`, `control` and `ready` are bound, all of them or none, so that a balancer finds a closed port until the router can serve. Nothing else starts before: an outgoing connection of its own could take a port that it waits for. `admin` is bound beside. An address that is not of this machine is waited for too, since it may come up later; one that is invalid or not permitted ends the process, since no wait changes that. A stop signal ends the wait with status 0.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! Shared parts of almondwell's daemons: settings, clock, signals, logs and HTTP responses.
 
 mod arguments;
+mod bind;
 mod check;
 mod clock;
 mod counters;
@@ -12,6 +13,7 @@
 mod signal;
 
 pub use arguments::{Command, parse};
+pub use bind::{Unbound, listen, until_bound, until_bound_or_stopped};
 pub use check::{Check, Invalid};
 pub use clock::{BootClock, Clock};
 pub use counters::Counters;
--- a/router/src/endpoints.rs
+++ b/router/src/endpoints.rs
@@ -1,7 +1,7 @@
 //! HTTP endpoints for the platform and for operators.
 
 use crate::router::Router;
-use almondwell_daemon::metrics;
+use almondwell_daemon::{listen, metrics, until_bound};
 use almondwell_platform::READY_PATH;
 use async_std::net::TcpListener;
 use std::sync::Arc;
@@ -14,8 +14,16 @@
     run(server, listener, "ready").await;
 }
 
-/// Serves `/health` and `/metrics`.
-pub(crate) async fn admin(router: Arc<Router>, listener: TcpListener) {
+/// Serves `/health` and `/metrics` once the address is bound; the router serves without them.
+pub(crate) async fn admin(router: Arc<Router>) {
+    let address = router.settings.admin;
+    let listener = match until_bound(|| listen("admin", address)).await {
+        Ok(listener) => listener,
+        Err(unbound) => {
+            spdlog::error!("no pages for operators", kv: { error = unbound.to_string() });
+            return;
+        }
+    };
     let registry = Arc::new(router.metrics.registry());
     let mut server = Server::with_state(router);
     server.at("/health").get(readiness);
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -3,6 +3,7 @@
 //! An entry is one router process. An engine is an upstream that runs a language model.
 
 pub mod active;
+mod addresses;
 mod backend;
 mod body;
 mod buffer;
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -1,19 +1,18 @@
 //! Startup and shutdown of a router process.
 
+use crate::addresses::Addresses;
 use crate::connection::limit_receive_buffers;
 use crate::router::Router;
 use crate::{
     caller, cause_objects, duties, endpoints, fetches, loads, peers, reports, usage, watch,
 };
 use almondwell_core::upstream::Upstream;
-use almondwell_daemon::{signals, wait_for_stop};
+use almondwell_daemon::{signals, until_bound_or_stopped, wait_for_stop};
 use almondwell_platform::decode::Configuration;
 use almondwell_schema::RouterSettings;
-use almondwell_wire::{MAX_FRAME_BYTES, Seal, Socket, limit_frame_memory};
-use async_std::net::TcpListener;
+use almondwell_wire::{MAX_FRAME_BYTES, limit_frame_memory};
 use async_std::task::{self, JoinHandle};
-use eyre::{Result, WrapErr};
-use std::net::SocketAddr;
+use eyre::Result;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,21 +26,25 @@
 /// Interval between checks whether the running requests of a draining process have finished.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
 
-/// Runs a router until it receives a stop signal, then shuts it down gracefully.
+/// Runs a router until it receives a stop signal, then shuts it down gracefully. Nothing else starts before it is bound:
+/// an outgoing connection of its own could take a port that it waits for.
 ///
 /// # Errors
 ///
-/// Fails when listening on an address or registering signal handlers fails.
+/// Fails when an address can never be bound or registering signal handlers fails.
 pub async fn serve(settings: RouterSettings) -> Result<()> {
     let signals = signals()?;
-    let callers = bind("callers", settings.callers).await?;
-    let ready = bind("ready", settings.ready).await?;
-    let admin = bind("admin", settings.admin).await?;
-    let control = settings.control;
-    let peer_listener = bind("control", control).await?;
-    let socket = Socket::bind(control, Seal::new(&settings.secret))
-        .await
-        .wrap_err_with(|| format!("cannot bind control = {control}"))?;
+    let bound = until_bound_or_stopped(&signals, || Addresses::bind(&settings)).await?;
+    let Some(Addresses {
+        callers,
+        peers,
+        ready,
+        socket,
+    }) = bound
+    else {
+        spdlog::info!("router stopped", kv: { id = settings.id.as_ref(), active = 0 });
+        return Ok(());
+    };
     if settings.memory > 0 {
         limit_frame_memory(frame_memory(settings.memory));
         limit_receive_buffers();
@@ -54,7 +57,7 @@
     });
     task::spawn(watch::watch::<Configuration>(router.clone()));
     task::spawn(watch::watch::<Upstream>(router.clone()));
-    task::spawn(fetches::serve(router.clone(), peer_listener));
+    task::spawn(fetches::serve(router.clone(), peers));
     task::spawn(fetches::run(router.clone()));
     task::spawn(peers::receive(router.clone()));
     task::spawn(peers::gossip(router.clone()));
@@ -74,7 +77,7 @@
     }
     task::spawn(watch::expire(router.clone()));
     task::spawn(endpoints::ready(router.clone(), ready));
-    task::spawn(endpoints::admin(router.clone(), admin));
+    task::spawn(endpoints::admin(router.clone()));
     let accept = task::spawn(caller::accept(router.clone(), callers));
     wait_for_stop(&signals).await;
     shut_down(&router, accept).await;
@@ -88,12 +91,6 @@
     share.max(2 * MAX_FRAME_BYTES)
 }
 
-async fn bind(key: &str, address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .wrap_err_with(|| format!("cannot listen on {key} = {address}"))
-}
-
 /// Reports unready, waits until the load balancer has noticed, then stops accepting connections and waits for
 /// running requests within the grace time. Those that remain are answered before its end.
 async fn shut_down(router: &Arc<Router>, accept: JoinHandle<()>) {
