Log why a process starts, ends or panics

Seen: after reports of processes that ended by themselves, no log told why. Cause: errors at the start went to standard error as plain text only, and so did panics; `router started` and `router stopped` had no figures. `eprintln!` in `main`, and the log library's own report of a failed write, panic if standard error is closed. Change: `process failed` (error, peak memory, descriptors) before the end by any error, of settings too; `panic` with thread, place and message by a hook that goes on as before; `stop signal received`; limits in `router started`, peaks in `router stopped`. A failed write of the log or of the last error is ignored. `--check` prints as before. A panic in a task or thread leaves the process alive: the executor catches those of tasks.

--- a/almondwell/src/main.rs
+++ b/almondwell/src/main.rs
@@ -68,7 +68,7 @@
     match subcommand::run() {
         Ok(code) => code,
         Err(error) => {
-            eprintln!("almondwell: {error:#}");
+            almondwell_daemon::print_error("almondwell", &error);
             ExitCode::FAILURE
         }
     }
--- a/almondwell/src/route.rs
+++ b/almondwell/src/route.rs
@@ -1,8 +1,6 @@
 //! `almondwell route`: runs an entry as a router on the users' own platform.
 
-use almondwell_daemon::{Command, close_logs, parse, set_up_logs};
-use almondwell_schema::RouterSettings;
-use async_std::task;
+use almondwell_daemon::Command;
 use eyre::Result;
 use lexopt::Parser;
 use std::process::ExitCode;
@@ -15,11 +13,6 @@
 
 /// Runs a router until the process receives a stop signal.
 pub(crate) fn run(parser: &mut Parser) -> Result<ExitCode> {
-    let Some(settings) = parse::<RouterSettings>(COMMAND, parser)? else {
-        return Ok(ExitCode::SUCCESS);
-    };
-    set_up_logs()?;
-    task::block_on(almondwell_router::serve(settings))?;
-    close_logs();
+    almondwell_daemon::run(COMMAND, parser, almondwell_router::serve)?;
     Ok(ExitCode::SUCCESS)
 }
--- a/almondwell/src/serve.rs
+++ b/almondwell/src/serve.rs
@@ -6,7 +6,7 @@
     admin, configuration, control, instance_list, listener, peers, probe, quarantine, stored,
 };
 use almondwell_configuration::{gossip, watch};
-use almondwell_daemon::{Command, close_logs, parse, set_up_logs, signals, wait_for_stop};
+use almondwell_daemon::{Command, signals, wait_for_stop};
 use almondwell_schema::EntrySettings;
 use async_std::future::timeout;
 use async_std::net::TcpListener;
@@ -24,12 +24,7 @@
 
 /// Runs an entry until the process receives a stop signal.
 pub(crate) fn run(parser: &mut Parser) -> Result<ExitCode> {
-    let Some(settings) = parse::<EntrySettings>(COMMAND, parser)? else {
-        return Ok(ExitCode::SUCCESS);
-    };
-    set_up_logs()?;
-    task::block_on(serve(settings))?;
-    close_logs();
+    almondwell_daemon::run(COMMAND, parser, serve)?;
     Ok(ExitCode::SUCCESS)
 }
 
--- a/daemon/src/logs.rs
+++ b/daemon/src/logs.rs
@@ -1,9 +1,11 @@
 //! Structured logs on standard output.
 
+use crate::process::log_panics;
 use eyre::Result;
 use spdlog::ThreadPool;
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStream, StdStreamSink};
+use std::io::Write;
 use std::num::NonZeroUsize;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,12 +28,23 @@
         .sink(Arc::new(stdout))
         .thread_pool(Arc::new(pool))
         .overflow_policy(OverflowPolicy::DropIncoming)
+        .error_handler(report)
+        .build()?;
+    let logger = spdlog::Logger::builder()
+        .sink(Arc::new(sink))
+        .error_handler(report)
         .build()?;
-    let logger = spdlog::Logger::builder().sink(Arc::new(sink)).build()?;
     spdlog::set_default_logger(Arc::new(logger));
+    log_panics();
     Ok(())
 }
 
+/// Reports an error of the log on standard error. The library's own handler panics if that cannot be written either, in the task
+/// that logs.
+fn report(error: spdlog::Error) {
+    let _ = writeln!(std::io::stderr(), "cannot write the log: {error}");
+}
+
 /// Gives the last lines 50 ms to be written, then closes the log.
 ///
 /// At process exit the library waits for the writer thread, which blocks if the reader of standard
@@ -41,6 +54,6 @@
     std::thread::sleep(FINAL_WRITE_TIME);
     match spdlog::Logger::builder().build() {
         Ok(silent) => std::mem::forget(spdlog::swap_default_logger(Arc::new(silent))),
-        Err(error) => eprintln!("cannot close the log: {error}"),
+        Err(error) => report(error),
     }
 }
--- a/daemon/src/signal.rs
+++ b/daemon/src/signal.rs
@@ -13,8 +13,8 @@
 pub enum Signal {
     /// SIGHUP: the settings file has changed.
     Reload,
-    /// SIGINT or SIGTERM: the process has to shut down.
-    Stop,
+    /// SIGINT or SIGTERM, by its name: the process has to shut down.
+    Stop(&'static str),
 }
 
 /// Returns a channel that receives each signal, from a separate thread.
@@ -30,7 +30,14 @@
                 if signal == SIGHUP {
                     // A full channel already holds a reload or a stop.
                     let _ = sender.try_send(Signal::Reload);
-                } else if sender.send_blocking(Signal::Stop).is_err() {
+                    continue;
+                }
+                let name = if signal == SIGINT {
+                    "SIGINT"
+                } else {
+                    "SIGTERM"
+                };
+                if sender.send_blocking(Signal::Stop(name)).is_err() {
                     return;
                 }
             }
@@ -42,7 +49,13 @@
 /// startup.
 pub async fn wait_for_stop(signals: &Receiver<Signal>) {
     // The sender lives as long as the process.
-    while let Ok(Signal::Reload) = signals.recv().await {
-        spdlog::info!("reload ignored: settings are read only at startup");
+    while let Ok(signal) = signals.recv().await {
+        match signal {
+            Signal::Reload => spdlog::info!("reload ignored: settings are read only at startup"),
+            Signal::Stop(signal) => {
+                spdlog::info!("stop signal received", kv: { signal });
+                return;
+            }
+        }
     }
 }
--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -127,6 +127,11 @@
         })
     }
 
+    /// Most connections.
+    pub(crate) const fn limit(&self) -> usize {
+        self.connections
+    }
+
     /// Bytes that clients make the process hold.
     pub(crate) fn held(&self) -> usize {
         self.held.load(Ordering::Acquire)
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -7,7 +7,10 @@
     caller, cause_objects, duties, endpoints, fetches, loads, peers, reports, usage, watch,
 };
 use almondwell_core::upstream::Upstream;
-use almondwell_daemon::{signals, until_bound_or_stopped, wait_for_stop};
+use almondwell_daemon::{
+    descriptor_limit, open_descriptors, peak_memory_kib, signals, until_bound_or_stopped,
+    wait_for_stop,
+};
 use almondwell_platform::decode::Configuration;
 use almondwell_schema::RouterSettings;
 use almondwell_wire::{MAX_FRAME_BYTES, limit_frame_memory};
@@ -53,7 +56,9 @@
     spdlog::info!("router started", kv: {
         id = router.settings.id.as_ref(), version = env!("CARGO_PKG_VERSION"),
         zone = router.settings.zone.as_ref(), callers = router.settings.callers.to_string(),
-        store = router.settings.store.to_string()
+        store = router.settings.store.to_string(), memory = router.settings.memory,
+        descriptors = router.settings.descriptors, connections = router.clients.limit(),
+        descriptor_limit = descriptor_limit()
     });
     task::spawn(watch::watch::<Configuration>(router.clone()));
     task::spawn(watch::watch::<Upstream>(router.clone()));
@@ -114,7 +119,8 @@
     usage::finish(router).await;
     release.await;
     spdlog::info!("router stopped", kv: {
-        id = router.settings.id.as_ref(), active = router.drain.active()
+        id = router.settings.id.as_ref(), active = router.drain.active(),
+        descriptors = open_descriptors(), peak_kib = peak_memory_kib()
     });
 }
 
--- a/side/src/main.rs
+++ b/side/src/main.rs
@@ -21,8 +21,7 @@
 mod sink;
 mod upstream;
 
-use almondwell_daemon::Command;
-use eyre::Result;
+use almondwell_daemon::{Command, print_error, run};
 use std::process::ExitCode;
 
 const COMMAND: Command = Command {
@@ -32,19 +31,11 @@
 };
 
 fn main() -> ExitCode {
-    match start() {
+    match run(COMMAND, &mut lexopt::Parser::from_env(), run::run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("almondwell-side: {error:#}");
+            print_error("almondwell-side", &error);
             ExitCode::FAILURE
         }
     }
 }
-
-fn start() -> Result<()> {
-    let settings = almondwell_daemon::parse(COMMAND, &mut lexopt::Parser::from_env())?;
-    let Some(settings) = settings else {
-        return Ok(());
-    };
-    async_std::task::block_on(run::run(settings))
-}
--- a/side/src/run.rs
+++ b/side/src/run.rs
@@ -3,7 +3,7 @@
 use crate::side::Side;
 use crate::{admin, configuration, control, drain, fencing, health, listener};
 use almondwell_configuration::{gossip, watch};
-use almondwell_daemon::{close_logs, set_up_logs, signals, wait_for_stop};
+use almondwell_daemon::{signals, wait_for_stop};
 use almondwell_schema::SideSettings;
 use async_std::net::TcpListener;
 use async_std::task;
@@ -16,9 +16,8 @@
 
 /// Runs until a stop signal, then completes the running calls.
 ///
-/// Fails if the logs or signals cannot be set up or an address cannot be bound.
+/// Fails if the signals cannot be set up or an address cannot be bound.
 pub(crate) async fn run(settings: SideSettings) -> Result<()> {
-    set_up_logs()?;
     let signals = signals()?;
     let address = settings.control;
     let listener = TcpListener::bind(address)
@@ -38,7 +37,6 @@
     task::spawn(admin::serve(side.clone(), admin_listener));
     wait_for_stop(&signals).await;
     shut_down(&side).await;
-    close_logs();
     Ok(())
 }
 
