Start the lasting tasks of a router again if they panic

Seen: nothing by callers so far; found while looking for processes that end, or look alive, by a panic. Cause: the executor catches the panic of a task, so that the process lives. A connection's task ends with its connection, as it should; but a lasting one, such as the receipt of datagrams, the watch of the store or the accept loop, was gone for good. The process doesn't end: one datagram that makes a task panic would otherwise end all processes, and callers' requests run on.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod process;
 mod response;
 mod signal;
+mod tasks;
 
 pub use arguments::Command;
 pub use bind::{Unbound, listen, until_bound, until_bound_or_stopped};
@@ -24,3 +25,4 @@
 pub use process::{descriptor_limit, open_descriptors, peak_memory_kib, print_error, run};
 pub use response::{json, metrics};
 pub use signal::{Signal, signals, wait_for_stop};
+pub use tasks::keep;
--- a/router/src/caller.rs
+++ b/router/src/caller.rs
@@ -27,7 +27,7 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Accepts callers' connections, up to the configured limit, until cancelled.
-pub(crate) async fn accept(router: Arc<Router>, listener: TcpListener) {
+pub(crate) async fn accept(router: Arc<Router>, listener: Arc<TcpListener>) {
     let turn = Turn::default();
     loop {
         turn.wait().await;
--- a/router/src/fetches.rs
+++ b/router/src/fetches.rs
@@ -165,7 +165,7 @@
 }
 
 /// Serves other entries' fetches, forever.
-pub(crate) async fn serve(router: Arc<Router>, listener: TcpListener) {
+pub(crate) async fn serve(router: Arc<Router>, listener: Arc<TcpListener>) {
     let (turn, connections, served) = (
         Turn::default(),
         Slots::new(MAX_CONNECTIONS),
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -8,7 +8,7 @@
 };
 use almondwell_core::upstream::Upstream;
 use almondwell_daemon::{
-    descriptor_limit, open_descriptors, peak_memory_kib, signals, until_bound_or_stopped,
+    descriptor_limit, keep, open_descriptors, peak_memory_kib, signals, until_bound_or_stopped,
     wait_for_stop,
 };
 use almondwell_platform::decode::Configuration;
@@ -16,6 +16,7 @@
 use almondwell_wire::{MAX_FRAME_BYTES, limit_frame_memory};
 use async_std::task::{self, JoinHandle};
 use eyre::Result;
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -60,35 +61,54 @@
         descriptors = router.settings.descriptors, connections = router.clients.limit(),
         descriptor_limit = descriptor_limit()
     });
-    task::spawn(watch::watch::<Configuration>(router.clone()));
-    task::spawn(watch::watch::<Upstream>(router.clone()));
-    task::spawn(fetches::serve(router.clone(), peers));
-    task::spawn(fetches::run(router.clone()));
-    task::spawn(peers::receive(router.clone()));
-    task::spawn(peers::gossip(router.clone()));
+    spawn(&router, "configuration", watch::watch::<Configuration>);
+    spawn(&router, "upstreams", watch::watch::<Upstream>);
+    let peers = Arc::new(peers);
+    spawn(&router, "fetches of others", move |router| {
+        fetches::serve(router, peers.clone())
+    });
+    spawn(&router, "fetches", fetches::run);
+    spawn(&router, "datagrams", peers::receive);
+    spawn(&router, "gossip", peers::gossip);
     if router.settings.exchange_loads {
-        task::spawn(loads::exchange(router.clone()));
+        spawn(&router, "loads", loads::exchange);
     }
-    task::spawn(cause_objects::follow(router.clone()));
-    task::spawn(cause_objects::write(router.clone()));
+    spawn(&router, "causes", cause_objects::follow);
+    spawn(&router, "writes of causes", cause_objects::write);
     if duties::is_enabled(&router.settings) {
-        task::spawn(duties::keep(router.clone()));
-        task::spawn(reports::send(router.clone()));
+        spawn(&router, "duties", duties::keep);
+        spawn(&router, "reports", reports::send);
     }
     if router.usage.is_counting() {
-        task::spawn(usage::exchange(router.clone()));
-        task::spawn(usage::look_up(router.clone()));
-        task::spawn(usage::write(router.clone()));
+        spawn(&router, "usage", usage::exchange);
+        spawn(&router, "look-ups of usage", usage::look_up);
+        spawn(&router, "writes of usage", usage::write);
     }
-    task::spawn(watch::expire(router.clone()));
+    spawn(&router, "removals", watch::expire);
     task::spawn(endpoints::ready(router.clone(), ready));
     task::spawn(endpoints::admin(router.clone()));
-    let accept = task::spawn(caller::accept(router.clone(), callers));
+    let callers = Arc::new(callers);
+    let accept = spawn(&router, "callers", move |router| {
+        caller::accept(router, callers.clone())
+    });
     wait_for_stop(&signals).await;
     shut_down(&router, accept).await;
     Ok(())
 }
 
+/// Runs `task` as long as the process.
+fn spawn<F>(
+    router: &Arc<Router>,
+    name: &'static str,
+    task: impl Fn(Arc<Router>) -> F + Send + 'static,
+) -> JoinHandle<()>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let router = router.clone();
+    task::spawn(keep(name, move || task(router.clone())))
+}
+
 /// Bytes that unfinished frames of other entries may take on a machine with `memory` MB: an eighth, 14 MB on the smallest machine,
 /// and at least two of the longest frames. Anyone who reaches the control address can send them.
 fn frame_memory(memory: u32) -> usize {
