Keep odd values of time and counts from making tasks panic

Cause: sums of such values overflow. Sums of times panic in every build: the median of the other entries' wall clocks and the boot time, the time limit of a reservation at a side, and a time in the configuration near the longest one beside a clock. Sums of integers panic in debug builds and wrap in release builds: tokens of prompt parts, windows of usage, the number of a lease. Why: a panic ends the connection's task, or a lasting task, which is started again and loses what it held.

--- a/core/src/job.rs
+++ b/core/src/job.rs
@@ -41,7 +41,8 @@
 impl Job {
     /// Work of the request for an engine.
     pub fn work(&self) -> Work {
-        let shared = self.shared().iter().map(|part| part.tokens).sum();
+        let tokens = self.shared().iter().map(|part| part.tokens);
+        let shared = tokens.fold(0, u32::saturating_add);
         Work {
             output: self.expected_tokens.unwrap_or(self.output_tokens),
             own: self.prompt_tokens.saturating_sub(shared),
--- a/core/src/lease.rs
+++ b/core/src/lease.rs
@@ -140,7 +140,7 @@
         let reported = self.reported()?;
         let pending = self.record()?.pending.as_ref();
         let is_sent = pending.is_none_or(|pending| pending.window <= reported);
-        is_sent.then_some(reported + 1)
+        is_sent.then_some(reported.saturating_add(1))
     }
 
     /// Time by which every call of this process has to be over.
@@ -227,7 +227,7 @@
                 recent.push(previous.holder);
                 recent.retain(|holder| *holder != self.holder);
                 LeaseRecord {
-                    number: previous.number + 1,
+                    number: previous.number.saturating_add(1),
                     recent,
                     reported: previous.reported,
                     pending: previous.pending,
@@ -236,7 +236,7 @@
                 }
             }
             None => LeaseRecord {
-                number: known + 1,
+                number: known.saturating_add(1),
                 reported,
                 ..empty
             },
--- a/core/src/queue.rs
+++ b/core/src/queue.rs
@@ -393,7 +393,7 @@
         let waiting = Waiting {
             arrived_at: now,
             cost,
-            deadline: now + reservation.left,
+            deadline: now.saturating_add(reservation.left),
             reservation,
         };
         self.deadlines.insert((waiting.deadline, request));
--- a/core/src/time_offset.rs
+++ b/core/src/time_offset.rs
@@ -96,6 +96,6 @@
     if offsets.len() % 2 == 1 {
         offsets[middle]
     } else {
-        (offsets[middle - 1] + offsets[middle]) / 2
+        offsets[middle - 1].saturating_add(offsets[middle]) / 2
     }
 }
--- a/core/src/usage/collector.rs
+++ b/core/src/usage/collector.rs
@@ -126,7 +126,7 @@
         let is_replaced = self.contacts.get(&usage.entry).is_some_and(|contact| {
             contact.start.is_some_and(|start| start != usage.start) && contact.window > newest
         });
-        if newest + self.options.unreported() >= now && !is_replaced {
+        if newest.saturating_add(self.options.unreported()) >= now && !is_replaced {
             self.merge(now, usage);
         } else {
             for window in &usage.windows {
@@ -137,11 +137,11 @@
 
     /// Merges counts of one window; returns whether no more are needed.
     fn merge_window(&mut self, now: Window, usage: &Usage, window: &UsageWindow) -> bool {
-        let is_past = window.window + RETENTION < now;
+        let is_past = window.window.saturating_add(RETENTION) < now;
         if is_past || !self.is_wanted(window.window) {
             return true;
         }
-        if window.window > now + MAX_AHEAD {
+        if window.window > now.saturating_add(MAX_AHEAD) {
             return false;
         }
         let process = (usage.entry.clone(), usage.start);
--- a/core/tests/admission.rs
+++ b/core/tests/admission.rs
@@ -16,6 +16,8 @@
     ignores_lower_tiers_in_the_wait_estimate = check_lower_tiers();
     admits_one_reservation_of_a_starved_class = check_starved();
     admits_again_once_the_backlog_is_empty = check_recovery();
+    // Guards against a reservation whose time limit makes a side's task panic.
+    takes_a_reservation_with_the_longest_time_limit = check_longest_limit();
 }
 
 /// A queue for an upstream with eight slots, all taken by requests of one second.
@@ -130,3 +132,13 @@
         "expected to be queued for less than 1 s, got {answer:?}"
     );
 }
+
+fn check_longest_limit() {
+    let mut queue = Queue::<()>::new(Settings::default());
+    let endless = almondwell_core::Reservation {
+        left: Duration::MAX,
+        ..reservation(1, 0, "retail")
+    };
+    queue.reserve(SECOND, endless);
+    assert_eq!(start_all(&mut queue, SECOND).len(), 1);
+}
--- a/router/src/usage.rs
+++ b/router/src/usage.rs
@@ -161,7 +161,7 @@
         let wall_time = wall_time();
         let offset = lock(&self.time).update(now, wall_time);
         self.offset_ns.store(nanoseconds(offset), Ordering::Release);
-        let time = now + offset;
+        let time = now.saturating_add(offset);
         let error_ms = i64::try_from(wall_time.abs_diff(time).as_millis()).unwrap_or(i64::MAX);
         let gauge = &router.metrics.usage_clock_error;
         let previous = gauge.set(error_ms);
--- a/router/src/usage/stored.rs
+++ b/router/src/usage/stored.rs
@@ -120,7 +120,9 @@
     let current = usage.options.window_at(time);
     let collector = lock(&usage.collector);
     let recent = current.saturating_sub(usage.options.unreported());
-    let first = collector.reported().map_or(recent, |reported| reported + 1);
+    let first = collector
+        .reported()
+        .map_or(recent, |reported| reported.saturating_add(1));
     let is_due = |window: &Window| usage.options.is_look_up_due(time, *window);
     let mut unreported = (first..current).rev();
     let incomplete =
--- a/side/src/ledger/run.rs
+++ b/side/src/ledger/run.rs
@@ -39,7 +39,7 @@
 
 async fn run_to_completion(side: &Side, attempt: &Attempt, run: &Run) -> Vec<Frame> {
     let mut frames: Vec<Frame> = Vec::new();
-    let limit = run.left + OUTCOME_GRACE_PERIOD;
+    let limit = run.left.saturating_add(OUTCOME_GRACE_PERIOD);
     let call = timeout(limit, upstream::call(side, &mut frames, run)).await;
     if !matches!(call, Ok(Ok(()))) {
         frames.push(incomplete_response().into());
