Wait for the ports of an entry and a side that are taken when they start

Cause: `almondwell serve` and `almondwell-side` bound their ports once as well, and ended with status 1. Change: both wait as a router does; `admin` is bound beside.

--- a/almondwell/src/admin.rs
+++ b/almondwell/src/admin.rs
@@ -2,11 +2,12 @@
 
 use crate::burn;
 use crate::entry::Entry;
-use almondwell_daemon::Counters;
+use almondwell_daemon::{Counters, listen, until_bound};
 use almondwell_schema::{Role, Status};
 use almondwell_wire::Traffic;
 use async_std::net::TcpListener;
 use prometheus_client::registry::Registry;
+use std::io;
 use std::sync::Arc;
 use tide::{Request, Response, StatusCode};
 
@@ -15,8 +16,20 @@
     registry: Registry,
 }
 
+/// Serves the endpoints once their address is bound; the rest does not wait for it.
+pub(crate) async fn run(entry: Arc<Entry>) {
+    let address = entry.settings.admin;
+    let result = match until_bound(|| listen("admin", address)).await {
+        Ok(listener) => serve(entry, listener).await,
+        Err(unbound) => Err(io::Error::other(unbound)),
+    };
+    if let Err(error) = result {
+        spdlog::error!("HTTP server stopped", kv: { page = "admin", error = error.to_string() });
+    }
+}
+
 /// Serves the admin endpoints until the process ends.
-pub(crate) async fn serve(entry: Arc<Entry>, listener: TcpListener) -> std::io::Result<()> {
+async fn serve(entry: Arc<Entry>, listener: TcpListener) -> io::Result<()> {
     let mut registry = entry.metrics.registry();
     registry.register_collector(Box::new(Counters(Traffic::named)));
     let mut app = tide::with_state(Arc::new(State { entry, registry }));
--- a/almondwell/src/entry.rs
+++ b/almondwell/src/entry.rs
@@ -17,7 +17,7 @@
 use almondwell_daemon::Clock;
 use almondwell_platform::Objects;
 use almondwell_schema::{Datagram, EntrySettings, Epoch, RequestId};
-use almondwell_wire::{Error, Seal, Socket};
+use almondwell_wire::{Seal, Socket};
 use arc_swap::ArcSwap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -50,13 +50,11 @@
 }
 
 impl Entry {
-    /// Binds the control socket; fails if its address cannot be bound.
-    pub(crate) async fn bind(settings: EntrySettings) -> Result<Self, Error> {
+    pub(crate) fn new(settings: EntrySettings, socket: Socket) -> Self {
         let seal = Seal::new(&settings.secret);
-        let socket = Socket::bind(settings.control, seal.clone()).await?;
         let epoch = rand::random_range(1..=Epoch::MAX);
         let stored_name = format!("{}.{epoch:016x}", settings.id);
-        Ok(Self {
+        Self {
             answer_times: Arc::default(),
             budgets: Budgets::default(),
             burn: Arc::new(Burn::new(&settings)),
@@ -78,7 +76,7 @@
             stored: stored::State::new(&stored_name),
             waiters: Waiters::default(),
             request_count: AtomicU64::new(0),
-        })
+        }
     }
 
     /// Returns a new request id: this incarnation's epoch in the high 64 bits, so that ids differ
--- a/almondwell/src/serve.rs
+++ b/almondwell/src/serve.rs
@@ -6,12 +6,13 @@
     admin, configuration, control, instance_list, listener, peers, probe, quarantine, stored,
 };
 use almondwell_configuration::{gossip, watch};
-use almondwell_daemon::{Command, signals, wait_for_stop};
+use almondwell_daemon::{Command, Unbound, listen, signals, until_bound_or_stopped, wait_for_stop};
 use almondwell_schema::EntrySettings;
+use almondwell_wire::{Seal, Socket};
 use async_std::future::timeout;
 use async_std::net::TcpListener;
 use async_std::task::{self, JoinHandle};
-use eyre::{Result, WrapErr};
+use eyre::Result;
 use lexopt::Parser;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -30,33 +31,48 @@
 
 async fn serve(settings: EntrySettings) -> Result<()> {
     let signals = signals()?;
+    let Some(addresses) = until_bound_or_stopped(&signals, || Addresses::bind(&settings)).await?
+    else {
+        spdlog::info!("entry stopped", kv: { id = settings.id.as_ref() });
+        return Ok(());
+    };
     let address = settings.callers;
-    let caller_listener = TcpListener::bind(address)
-        .await
-        .wrap_err_with(|| format!("cannot listen on callers = {address}"))?;
-    let control = settings.control;
-    let peer_listener = TcpListener::bind(control)
-        .await
-        .wrap_err_with(|| format!("cannot listen on control = {control}"))?;
-    let admin = settings.admin;
-    let admin_listener = TcpListener::bind(admin)
-        .await
-        .wrap_err_with(|| format!("cannot listen on admin = {admin}"))?;
-    let entry = Entry::bind(settings)
-        .await
-        .wrap_err_with(|| format!("cannot bind control = {control}"))?;
-    let entry = Arc::new(entry);
+    let entry = Arc::new(Entry::new(settings, addresses.socket));
     spdlog::info!("entry started", kv: { id = entry.settings.id.as_ref(), callers = address.to_string() });
     spawn_tasks(&entry);
-    task::spawn(peers::accept(entry.clone(), peer_listener));
-    task::spawn(admin::serve(entry.clone(), admin_listener));
+    task::spawn(peers::accept(entry.clone(), addresses.peers));
+    task::spawn(admin::run(entry.clone()));
     stored::serve(&entry);
-    let accept = task::spawn(listener::accept(entry.clone(), caller_listener));
+    let accept = task::spawn(listener::accept(entry.clone(), addresses.callers));
     wait_for_stop(&signals).await;
     shut_down(&entry, accept).await;
     Ok(())
 }
 
+/// Addresses that an entry needs to serve.
+struct Addresses {
+    callers: TcpListener,
+    peers: TcpListener,
+    socket: Socket,
+}
+
+impl Addresses {
+    /// Binds all of them or none.
+    async fn bind(settings: &EntrySettings) -> Result<Self, Unbound> {
+        let address = settings.control;
+        let socket = Socket::bind(address, Seal::new(&settings.secret)).await;
+        Ok(Self {
+            callers: listen("callers", settings.callers).await?,
+            peers: listen("control", address).await?,
+            socket: socket.map_err(|error| Unbound {
+                address,
+                error: error.into(),
+                key: "control",
+            })?,
+        })
+    }
+}
+
 fn spawn_tasks(entry: &Arc<Entry>) {
     let receiver = entry.clone();
     task::spawn(async move { control::receive(&receiver).await });
--- a/daemon/src/logs.rs
+++ b/daemon/src/logs.rs
@@ -28,11 +28,11 @@
         .sink(Arc::new(stdout))
         .thread_pool(Arc::new(pool))
         .overflow_policy(OverflowPolicy::DropIncoming)
-        .error_handler(report)
+        .error_handler(|error| report(&error))
         .build()?;
     let logger = spdlog::Logger::builder()
         .sink(Arc::new(sink))
-        .error_handler(report)
+        .error_handler(|error| report(&error))
         .build()?;
     spdlog::set_default_logger(Arc::new(logger));
     log_panics();
@@ -41,7 +41,7 @@
 
 /// Reports an error of the log on standard error. The library's own handler panics if that cannot be written either, in the task
 /// that logs.
-fn report(error: spdlog::Error) {
+fn report(error: &spdlog::Error) {
     let _ = writeln!(std::io::stderr(), "cannot write the log: {error}");
 }
 
@@ -54,6 +54,6 @@
     std::thread::sleep(FINAL_WRITE_TIME);
     match spdlog::Logger::builder().build() {
         Ok(silent) => std::mem::forget(spdlog::swap_default_logger(Arc::new(silent))),
-        Err(error) => report(error),
+        Err(error) => report(&error),
     }
 }
--- a/router/src/addresses.rs
+++ b/router/src/addresses.rs
@@ -2,9 +2,8 @@
 
 use almondwell_daemon::{Unbound, listen};
 use almondwell_schema::RouterSettings;
-use almondwell_wire::{Error, Seal, Socket};
+use almondwell_wire::{Seal, Socket};
 use async_std::net::TcpListener;
-use std::io;
 
 /// Bound addresses.
 pub(crate) struct Addresses {
@@ -23,10 +22,7 @@
         let socket = Socket::bind(address, Seal::new(&settings.secret)).await;
         let socket = socket.map_err(|error| Unbound {
             address,
-            error: match error {
-                Error::Io(error) => error,
-                other => io::Error::other(other.to_string()),
-            },
+            error: error.into(),
             key: "control",
         })?;
         Ok(Self {
--- a/side/src/admin.rs
+++ b/side/src/admin.rs
@@ -1,11 +1,12 @@
 //! HTTP endpoints for health, metrics and status.
 
 use crate::side::Side;
-use almondwell_daemon::Counters;
+use almondwell_daemon::{Counters, listen, until_bound};
 use almondwell_schema::{Role, Status};
 use almondwell_wire::Traffic;
 use async_std::net::TcpListener;
 use prometheus_client::registry::Registry;
+use std::io;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use tide::Request;
@@ -15,8 +16,20 @@
     side: Arc<Side>,
 }
 
+/// Serves the endpoints once their address is bound; the rest does not wait for it.
+pub(crate) async fn run(side: Arc<Side>) {
+    let address = side.settings.admin;
+    let result = match until_bound(|| listen("admin", address)).await {
+        Ok(listener) => serve(side, listener).await,
+        Err(unbound) => Err(io::Error::other(unbound)),
+    };
+    if let Err(error) = result {
+        spdlog::error!("HTTP server stopped", kv: { page = "admin", error = error.to_string() });
+    }
+}
+
 /// Serves the endpoints until the process ends; fails if `listener` does.
-pub(crate) async fn serve(side: Arc<Side>, listener: TcpListener) -> std::io::Result<()> {
+async fn serve(side: Arc<Side>, listener: TcpListener) -> io::Result<()> {
     let mut registry = Registry::with_prefix("almondwell_side");
     side.metrics.register(&mut registry);
     registry.register_collector(Box::new(Counters(Traffic::named)));
--- a/side/src/run.rs
+++ b/side/src/run.rs
@@ -3,11 +3,12 @@
 use crate::side::Side;
 use crate::{admin, configuration, control, drain, fencing, health, listener};
 use almondwell_configuration::{gossip, watch};
-use almondwell_daemon::{signals, wait_for_stop};
+use almondwell_daemon::{Unbound, listen, signals, until_bound_or_stopped, wait_for_stop};
 use almondwell_schema::SideSettings;
+use almondwell_wire::{Seal, Socket};
 use async_std::net::TcpListener;
 use async_std::task;
-use eyre::{Result, WrapErr};
+use eyre::Result;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,30 +17,39 @@
 
 /// Runs until a stop signal, then completes the running calls.
 ///
-/// Fails if the signals cannot be set up or an address cannot be bound.
+/// Fails if the signals cannot be set up or an address can never be bound.
 pub(crate) async fn run(settings: SideSettings) -> Result<()> {
     let signals = signals()?;
     let address = settings.control;
-    let listener = TcpListener::bind(address)
-        .await
-        .wrap_err_with(|| format!("cannot listen on control = {address}"))?;
-    let admin = settings.admin;
-    let admin_listener = TcpListener::bind(admin)
-        .await
-        .wrap_err_with(|| format!("cannot listen on admin = {admin}"))?;
-    let side = Side::bind(settings)
-        .await
-        .wrap_err_with(|| format!("cannot bind control = {address}"))?;
+    let Some((listener, socket)) = until_bound_or_stopped(&signals, || bind(&settings)).await?
+    else {
+        spdlog::info!("side stopped", kv: { id = settings.id.as_ref() });
+        return Ok(());
+    };
+    let side = Side::new(settings, socket);
     let side = Arc::new(side);
     spdlog::info!("side started", kv: { id = side.settings.id.as_ref(), control = address.to_string() });
     task::spawn(listener::accept(side.clone(), listener));
     spawn_tasks(&side);
-    task::spawn(admin::serve(side.clone(), admin_listener));
+    task::spawn(admin::run(side.clone()));
     wait_for_stop(&signals).await;
     shut_down(&side).await;
     Ok(())
 }
 
+/// Binds the address for other processes, for connections and for datagrams.
+async fn bind(settings: &SideSettings) -> Result<(TcpListener, Socket), Unbound> {
+    let address = settings.control;
+    let listener = listen("control", address).await?;
+    let socket = Socket::bind(address, Seal::new(&settings.secret)).await;
+    let socket = socket.map_err(|error| Unbound {
+        address,
+        error: error.into(),
+        key: "control",
+    })?;
+    Ok((listener, socket))
+}
+
 fn spawn_tasks(side: &Arc<Side>) {
     let receiver = side.clone();
     task::spawn(async move { control::receive(&receiver).await });
--- a/side/src/side.rs
+++ b/side/src/side.rs
@@ -37,16 +37,15 @@
 }
 
 impl Side {
-    pub(crate) async fn bind(settings: SideSettings) -> Result<Self, almondwell_wire::Error> {
+    pub(crate) fn new(settings: SideSettings, socket: Socket) -> Self {
         let seal = Seal::new(&settings.secret);
-        let socket = Socket::bind(settings.control, seal.clone()).await?;
         let queue = Queue::new(almondwell_core::Settings {
             backlog: settings.backlog as usize,
             slots: settings.places.into(),
             ..almondwell_core::Settings::default()
         });
         let clock = Clock::start();
-        Ok(Self {
+        Self {
             clock,
             entries: Entries::default(),
             epoch: rand::random_range(1..=Epoch::MAX),
@@ -62,7 +61,7 @@
             socket,
             suspects: Suspects::default(),
             queue: Mutex::new(queue),
-        })
+        }
     }
 
     /// Locks the queue; the guard must not be held across an await.
--- a/wire/src/error.rs
+++ b/wire/src/error.rs
@@ -37,3 +37,12 @@
         Self::Io(error)
     }
 }
+
+impl From<Error> for std::io::Error {
+    fn from(error: Error) -> Self {
+        match error {
+            Error::Io(error) => error,
+            other => Self::other(other),
+        }
+    }
+}
