--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -1,5 +1,6 @@
 //! Startup and shutdown of a router process.
 
+use crate::addresses::Addresses;
 use crate::connection::limit_receive_buffers;
 use crate::router::Router;
 use crate::{
@@ -7,14 +8,16 @@
     usage, version_objects, watch,
 };
 use almondwell_core::upstream::Upstream;
-use almondwell_daemon::{signals, wait_for_stop};
+use almondwell_daemon::{
+    descriptor_limit, keep, open_descriptors, peak_memory_kib, signals, until_bound_or_stopped,
+    wait_for_stop,
+};
 use almondwell_platform::decode::Configuration;
 use almondwell_schema::RouterSettings;
-use almondwell_wire::{MAX_FRAME_BYTES, Seal, Socket, limit_frame_memory};
-use async_std::net::TcpListener;
+use almondwell_wire::{MAX_FRAME_BYTES, limit_frame_memory};
 use async_std::task::{self, JoinHandle};
-use eyre::{Result, WrapErr};
-use std::net::SocketAddr;
+use eyre::Result;
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,21 +33,25 @@
 /// Interval between checks whether the running requests of a draining process have finished.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
 
-/// Runs a router until it receives a stop signal, then shuts it down gracefully.
+/// Runs a router until it receives a stop signal, then shuts it down gracefully. Nothing else starts before it is bound:
+/// an outgoing connection of its own could take a port that it waits for.
 ///
 /// # Errors
 ///
-/// Fails when listening on an address or registering signal handlers fails.
+/// Fails when an address can never be bound or registering signal handlers fails.
 pub async fn serve(settings: RouterSettings) -> Result<()> {
     let signals = signals()?;
-    let callers = bind("callers", settings.callers).await?;
-    let ready = bind("ready", settings.ready).await?;
-    let admin = bind("admin", settings.admin).await?;
-    let control = settings.control;
-    let peer_listener = bind("control", control).await?;
-    let socket = Socket::bind(control, Seal::new(&settings.secret))
-        .await
-        .wrap_err_with(|| format!("cannot bind control = {control}"))?;
+    let bound = until_bound_or_stopped(&signals, || Addresses::bind(&settings)).await?;
+    let Some(Addresses {
+        callers,
+        peers,
+        ready,
+        socket,
+    }) = bound
+    else {
+        spdlog::info!("router stopped", kv: { id = settings.id.as_ref(), active = 0 });
+        return Ok(());
+    };
     if settings.memory > 0 {
         limit_frame_memory(frame_memory(settings.memory));
         limit_receive_buffers();
@@ -53,39 +60,60 @@
     spdlog::info!("router started", kv: {
         id = router.settings.id.as_ref(), version = env!("CARGO_PKG_VERSION"),
         zone = router.settings.zone.as_ref(), callers = router.settings.callers.to_string(),
-        store = router.settings.store.to_string()
+        store = router.settings.store.to_string(), memory = router.settings.memory,
+        descriptors = router.settings.descriptors, connections = router.clients.limit(),
+        descriptor_limit = descriptor_limit()
+    });
+    spawn(&router, "configuration", watch::watch::<Configuration>);
+    spawn(&router, "upstreams", watch::watch::<Upstream>);
+    let peers = Arc::new(peers);
+    spawn(&router, "fetches of others", move |router| {
+        fetches::serve(router, peers.clone())
     });
-    task::spawn(watch::watch::<Configuration>(router.clone()));
-    task::spawn(watch::watch::<Upstream>(router.clone()));
-    task::spawn(fetches::serve(router.clone(), peer_listener));
-    task::spawn(fetches::run(router.clone()));
-    task::spawn(peers::receive(router.clone()));
-    task::spawn(peers::gossip(router.clone()));
+    spawn(&router, "fetches", fetches::run);
+    spawn(&router, "datagrams", peers::receive);
+    spawn(&router, "gossip", peers::gossip);
     if router.settings.exchange_loads {
-        task::spawn(loads::exchange(router.clone()));
+        spawn(&router, "loads", loads::exchange);
     }
-    task::spawn(cause_objects::follow(router.clone()));
-    task::spawn(cause_objects::write(router.clone()));
-    task::spawn(version_objects::keep(router.clone()));
-    task::spawn(stream_objects::write(router.clone()));
+    spawn(&router, "causes", cause_objects::follow);
+    spawn(&router, "writes of causes", cause_objects::write);
+    spawn(&router, "versions", version_objects::keep);
+    spawn(&router, "writes of streams", stream_objects::write);
     if duties::is_enabled(&router.settings) {
-        task::spawn(duties::keep(router.clone()));
-        task::spawn(reports::send(router.clone()));
+        spawn(&router, "duties", duties::keep);
+        spawn(&router, "reports", reports::send);
     }
     if router.usage.is_counting() {
-        task::spawn(usage::exchange(router.clone()));
-        task::spawn(usage::look_up(router.clone()));
-        task::spawn(usage::write(router.clone()));
+        spawn(&router, "usage", usage::exchange);
+        spawn(&router, "look-ups of usage", usage::look_up);
+        spawn(&router, "writes of usage", usage::write);
     }
-    task::spawn(watch::expire(router.clone()));
+    spawn(&router, "removals", watch::expire);
     task::spawn(endpoints::ready(router.clone(), ready));
-    task::spawn(endpoints::admin(router.clone(), admin));
-    let accept = task::spawn(caller::accept(router.clone(), callers));
+    task::spawn(endpoints::admin(router.clone()));
+    let callers = Arc::new(callers);
+    let accept = spawn(&router, "callers", move |router| {
+        caller::accept(router, callers.clone())
+    });
     wait_for_stop(&signals).await;
     shut_down(&router, accept).await;
     Ok(())
 }
 
+/// Runs `task` as long as the process.
+fn spawn<F>(
+    router: &Arc<Router>,
+    name: &'static str,
+    task: impl Fn(Arc<Router>) -> F + Send + 'static,
+) -> JoinHandle<()>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let router = router.clone();
+    task::spawn(keep(name, move || task(router.clone())))
+}
+
 /// Bytes that unfinished frames of other entries may take on a machine with `memory` MB: an eighth, 14 MB on the smallest machine,
 /// and at least two of the longest frames. Anyone who reaches the control address can send them.
 fn frame_memory(memory: u32) -> usize {
@@ -93,12 +121,6 @@
     share.max(2 * MAX_FRAME_BYTES)
 }
 
-async fn bind(key: &str, address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .wrap_err_with(|| format!("cannot listen on {key} = {address}"))
-}
-
 /// Reports unready, waits until the load balancer has noticed, then stops accepting connections and waits for
 /// running requests within the grace time. Those that remain are answered before its end.
 async fn shut_down(router: &Arc<Router>, accept: JoinHandle<()>) {
@@ -123,7 +145,8 @@
     stream_objects::flush(router, FLUSH_TIME).await;
     release.await;
     spdlog::info!("router stopped", kv: {
-        id = router.settings.id.as_ref(), active = router.drain.active()
+        id = router.settings.id.as_ref(), active = router.drain.active(),
+        descriptors = open_descriptors(), peak_kib = peak_memory_kib()
     });
 }
 
