Serve while nobody reads standard error either

Seen: with standard output and standard error in one pipe that nobody reads, as log collectors set them up, the router answered 2,164 requests and then none: callers timed out, while the process lived and its readiness check still said 200 (2 of 2 trials). Cause: the log drops lines that find its queue of 4,096 full, and the library reports each such failure on standard error. The write blocks the thread that logs, and soon all threads that serve requests. Evidence: 4,096 queued lines and the 64 KiB of the pipe are the lines of 2,164 requests, two each. The test with an unread standard output alone sent 1,500 requests, so that the queue was never full, and left standard error open. Change: failures to log are dropped, not reported. Why it works: nothing but the writer thread writes to a standard stream after the start.

--- a/daemon/src/logs.rs
+++ b/daemon/src/logs.rs
@@ -1,9 +1,9 @@
 //! Structured logs on standard output.
 
 use eyre::Result;
-use spdlog::ThreadPool;
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStream, StdStreamSink};
+use spdlog::{Error, ThreadPool};
 use std::num::NonZeroUsize;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,18 +20,28 @@
     let stdout = StdStreamSink::builder()
         .std_stream(StdStream::Stdout)
         .formatter(JsonFormatter::new())
+        .error_handler(ignore)
         .build()?;
     let pool = ThreadPool::builder().capacity(MAX_QUEUED_LINES).build()?;
     let sink = AsyncPoolSink::builder()
         .sink(Arc::new(stdout))
         .thread_pool(Arc::new(pool))
         .overflow_policy(OverflowPolicy::DropIncoming)
+        .error_handler(ignore)
+        .build()?;
+    let logger = spdlog::Logger::builder()
+        .sink(Arc::new(sink))
+        .error_handler(ignore)
         .build()?;
-    let logger = spdlog::Logger::builder().sink(Arc::new(sink)).build()?;
     spdlog::set_default_logger(Arc::new(logger));
     Ok(())
 }
 
+/// Drops the failure to log a line. The library would write it to standard error, where it blocks the thread that logs if
+/// nobody reads there either.
+#[allow(clippy::needless_pass_by_value)]
+fn ignore(_: Error) {}
+
 /// Gives the last lines 50 ms to be written, then closes the log.
 ///
 /// At process exit the library waits for the writer thread, which blocks if the reader of standard
--- a/fakes/src/process.rs
+++ b/fakes/src/process.rs
@@ -1,6 +1,7 @@
 //! Child processes of tests and benchmarks.
 
 use eyre::{Result, WrapErr, bail, ensure};
+use std::io::PipeWriter;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Output, Stdio};
@@ -40,6 +41,21 @@
         })
     }
 
+    /// Starts `program` of this workspace with its standard output and standard error redirected to `output`.
+    pub fn start_with_all_output(
+        program: &str,
+        arguments: &[String],
+        output: PipeWriter,
+    ) -> Result<Self> {
+        let mut command = command(program, arguments)?;
+        command.stdout(output.try_clone()?).stderr(output);
+        Ok(Self {
+            arguments: arguments.to_vec(),
+            child: start(&mut command, program)?,
+            program: program.to_string(),
+        })
+    }
+
     /// Kills the process and starts it again with the same arguments.
     pub fn restart(&mut self) -> Result<()> {
         self.kill();
