Count parsed heads toward the memory of clients

Cause: the parts take 16 bytes for 4 or more of text, up to 64 KiB a request with the room by which a list grows, and target, host, key and identifiers are copied. None of it was part of a client's account, so that nobody was refused or evicted for it. Change: a client takes memory for the parsed form before it is made; what lies outside of segments counts twice, since the allocator keeps what one thread has freed for that thread. The list is allocated at its length, the target stays in the head, and long heads lie in segments. Why it works: what is kept of a head is bounded by the budget whatever its form, and refused or evicted like a body.

--- a/core/src/job.rs
+++ b/core/src/job.rs
@@ -49,6 +49,13 @@
         }
     }
 
+    /// Bytes of memory that the attributes take beside the structure itself.
+    pub fn bytes(&self) -> usize {
+        let texts = [&self.attempt, &self.key, &self.last_event, &self.model];
+        let texts = texts.into_iter().flatten().map(|text| text.len());
+        texts.sum::<usize>() + self.parts.capacity() * size_of::<Part>()
+    }
+
     /// The parts that other requests may share.
     pub fn shared(&self) -> &[Part] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
--- a/router/src/buffer.rs
+++ b/router/src/buffer.rs
@@ -67,7 +67,8 @@
 
     /// Removes and returns the first `count` bytes.
     pub(crate) fn take(&mut self, count: usize) -> Vec<u8> {
-        let taken = self.bytes[..count].to_vec();
+        let mut taken = segments::take_or_allocate(count);
+        taken.extend_from_slice(&self.bytes[..count]);
         self.consume(count);
         taken
     }
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -339,7 +339,12 @@
     } = delivery;
     let mut bytes = Vec::with_capacity(request.head.len() + 256);
     // Writing to a `Vec` cannot fail.
-    let _ = write!(bytes, "{} {} HTTP/1.1\r\n", request.method, request.target);
+    let _ = write!(
+        bytes,
+        "{} {} HTTP/1.1\r\n",
+        request.method,
+        request.target()
+    );
     let mut storage = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let last_event = delivery
         .progress
--- a/router/src/dispatch.rs
+++ b/router/src/dispatch.rs
@@ -324,7 +324,7 @@
 /// Hash of the parts of a request that stay the same when a caller retries it.
 fn fingerprint(request: &Request) -> Fingerprint {
     let key = request.job.key.as_deref().unwrap_or_default();
-    let parts = [&request.host, &request.target, key].map(str::as_bytes);
+    let parts = [&request.host, request.target(), key].map(str::as_bytes);
     hash::number_with_pieces(&parts, request.body.pieces())
 }
 
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -31,6 +31,7 @@
 mod relay;
 mod reports;
 mod request;
+mod request_head;
 mod response;
 mod router;
 mod segments;
--- a/router/src/request.rs
+++ b/router/src/request.rs
@@ -7,13 +7,14 @@
 use crate::dispatch::retry_after;
 use crate::framing::{Decoder, Framing};
 use crate::refusal::{Reason, Refusal};
+use crate::request_head::{Head, Parsed, attempt_id, parse};
+use crate::segments;
 use almondwell_core::job::Job;
 use almondwell_core::table::Limits;
-use almondwell_platform::headers;
-use almondwell_wire::fields;
 use async_std::future::timeout;
 use async_std::io::WriteExt;
 use futures_lite::future::or;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -23,6 +24,9 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest body that is read and discarded after a refusal by the head, so that the connection can be used again.
 pub(crate) const MAX_DISCARDED_BYTES: u64 = 256 << 10;
+/// What counts for each byte outside of segments: the allocator keeps what one thread has freed for that thread, so that others
+/// may take as much again.
+pub(crate) const UNSEGMENTED_FACTOR: usize = 2;
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// A caller's request, read completely.
@@ -30,7 +34,7 @@
     /// When its first byte had arrived.
     pub(crate) received_at: Instant,
     pub(crate) body: Body,
-    has_body: bool,
+    pub(crate) has_body: bool,
     /// The head as received, including the empty line.
     pub(crate) head: Vec<u8>,
     pub(crate) host: Box<str>,
@@ -39,13 +43,20 @@
     pub(crate) job: Job,
     pub(crate) is_keep_alive: bool,
     pub(crate) method: Box<str>,
-    pub(crate) target: Box<str>,
+    /// Where the target lies in the head.
+    pub(crate) target: Range<usize>,
 }
 
 impl Request {
     /// The target's path, without the query.
     pub(crate) fn path(&self) -> &str {
-        self.target.split('?').next().unwrap_or_default()
+        self.target().split('?').next().unwrap_or_default()
+    }
+
+    pub(crate) fn target(&self) -> &str {
+        let bytes = self.head.get(self.target.clone()).unwrap_or_default();
+        // `parse` took it for text.
+        str::from_utf8(bytes).unwrap_or_default()
     }
 
     /// Whether the request has a `Content-Length` or `Transfer-Encoding` field, even if the body is empty.
@@ -53,6 +64,11 @@
         self.has_body
     }
 
+    /// Bytes of memory that the parsed head takes beside its bytes.
+    fn parsed_bytes(&self) -> usize {
+        UNSEGMENTED_FACTOR * (self.host.len() + self.job.bytes() + self.method.len())
+    }
+
     pub(crate) fn headers<'a>(
         &'a self,
         storage: &'a mut [httparse::Header<'a>],
@@ -64,6 +80,12 @@
     }
 }
 
+impl Drop for Request {
+    fn drop(&mut self) {
+        segments::put(std::iter::once(std::mem::take(&mut self.head)));
+    }
+}
+
 /// Why reading a request failed.
 pub(crate) enum ReadError {
     /// The caller closed the connection or it failed, or the connection closes for another one; there is nobody to
@@ -81,11 +103,6 @@
     pub(crate) request: Request,
 }
 
-struct Head {
-    incoming: Incoming,
-    length: usize,
-}
-
 /// Reads the head of the next request, of which the buffer already holds the first byte.
 pub(crate) async fn read_head(
     buffer: &mut Buffer,
@@ -95,11 +112,7 @@
     let received_at = Instant::now();
     client.record_progress(buffer.bytes().len());
     if client.hold_buffer(buffer.capacity()).await.is_err() {
-        let head = parse(buffer.bytes(), limits, received_at, client)
-            .ok()
-            .flatten();
-        let attempt_id = head.and_then(|head| head.incoming.request.job.attempt);
-        return Err(no_room(client, attempt_id));
+        return Err(no_room(client, attempt_id(buffer.bytes())));
     }
     let reading = wait_for_head(buffer, limits, received_at, client);
     let head = match timeout(limits.head_timeout, reading).await {
@@ -112,7 +125,8 @@
     } = head;
     let attempt_id = incoming.request.job.attempt.clone();
     incoming.request.head = buffer.take(length);
-    client.move_buffer(buffer.capacity(), incoming.request.head.capacity());
+    let head_bytes = incoming.request.head.capacity() + incoming.request.parsed_bytes();
+    client.move_buffer(buffer.capacity(), head_bytes);
     if matches!(incoming.framing, Framing::Length(length) if length > limits.body as u64) {
         return Err(ReadError::Refused(
             Refusal::invalid(413, Reason::BodyTooLong),
@@ -228,13 +242,19 @@
     received_at: Instant,
     client: &Arc<Client>,
 ) -> Result<Head, ReadError> {
+    let mut has_room = false;
     loop {
-        if let Some(head) = parse(buffer.bytes(), limits, received_at, client)? {
-            return Ok(head);
-        }
-        fill(buffer, client).await.map_err(|error| match error {
+        let next = match parse(buffer.bytes(), limits, received_at, client, has_room)? {
+            Parsed::Complete(head) => return Ok(head),
+            Parsed::NoRoom(bytes) => {
+                has_room = true;
+                client.hold(bytes).await.map_err(BodyError::from)
+            }
+            Parsed::Partial => fill(buffer, client).await,
+        };
+        next.map_err(|error| match error {
             BodyError::Closed => ReadError::Closed,
-            BodyError::NoRoom => no_room(client, None),
+            BodyError::NoRoom => no_room(client, attempt_id(buffer.bytes())),
             BodyError::Refused(refusal) => ReadError::Refused(refusal, None),
         })?;
     }
@@ -258,78 +278,6 @@
     }
 }
 
-fn parse(
-    bytes: &[u8],
-    limits: &Limits,
-    received_at: Instant,
-    client: &Arc<Client>,
-) -> Result<Option<Head>, ReadError> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut parsed = httparse::Request::new(&mut headers);
-    let length = match parsed.parse(bytes) {
-        Ok(httparse::Status::Complete(length)) if length <= limits.head => length,
-        Ok(httparse::Status::Partial) if bytes.len() <= limits.head => return Ok(None),
-        Ok(_) | Err(httparse::Error::TooManyHeaders) => {
-            return Err(refused(431, Reason::HeadTooLong));
-        }
-        Err(_) => return Err(refused(400, Reason::Malformed)),
-    };
-    let malformed = || refused(400, Reason::Malformed);
-    let target = parsed.path.unwrap_or_default();
-    if !target.starts_with('/') || target.contains('#') {
-        return Err(malformed());
-    }
-    let values = |name: &str| fields::values(parsed.headers, name);
-    let [host] = values("Host")[..] else {
-        return Err(malformed());
-    };
-    let is_http_11 = parsed.version == Some(1);
-    let framing = fields::framing(parsed.headers, Framing::Length(0))
-        .filter(|framing| is_http_11 || *framing != Framing::Chunked)
-        .ok_or_else(malformed)?;
-    let has_body = ["Content-Length", "Transfer-Encoding"]
-        .iter()
-        .any(|name| !values(name).is_empty());
-    let expectation = values("Expect");
-    let expects_continue = match expectation[..] {
-        [] => false,
-        [one] if one.eq_ignore_ascii_case("100-continue") => true,
-        _ => return Err(refused(417, Reason::Malformed)),
-    };
-    let is_keep_alive = if is_http_11 {
-        !fields::has_option(parsed.headers, "close")
-    } else {
-        fields::has_option(parsed.headers, "keep-alive")
-    };
-    let request = Request {
-        received_at,
-        body: Body::new(client.clone()),
-        has_body,
-        head: Vec::new(),
-        host: host_name(host),
-        supports_chunked: is_http_11,
-        job: headers::job(parsed.headers),
-        is_keep_alive,
-        method: parsed.method.unwrap_or_default().into(),
-        target: target.into(),
-    };
-    let incoming = Incoming {
-        expects_continue,
-        framing,
-        request,
-    };
-    Ok(Some(Head { incoming, length }))
-}
-
-/// The host without its port, in lower case.
-fn host_name(host: &str) -> Box<str> {
-    let name = match host.rsplit_once(':') {
-        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
-        _ => host,
-    };
-    name.to_ascii_lowercase().into()
-}
-
 /// Reads and decodes the body.
 async fn decode_body(
     buffer: &mut Buffer,
@@ -361,6 +309,6 @@
     }
 }
 
-const fn refused(status: u16, reason: Reason) -> ReadError {
+pub(crate) const fn refused(status: u16, reason: Reason) -> ReadError {
     ReadError::Refused(Refusal::invalid(status, reason), None)
 }
--- a/router/src/segments.rs
+++ b/router/src/segments.rs
@@ -31,6 +31,15 @@
     Some(segment)
 }
 
+/// An empty vector for `count` bytes: a segment if they are as long as one.
+pub(crate) fn take_or_allocate(count: usize) -> Vec<u8> {
+    if count < SEGMENT_BYTES {
+        return Vec::with_capacity(count);
+    }
+    let size = count.next_power_of_two();
+    take(size).unwrap_or_else(|| Vec::with_capacity(size))
+}
+
 /// Adds segments that are not used any more; small ones are dropped.
 pub(crate) fn put(segments: impl Iterator<Item = Vec<u8>>) {
     for mut segment in segments {
