Bound the connections to the readiness and admin addresses

Cause: these pages accept any number of connections and keep one without a request for 60 s. Change: each page serves 12 connections at a time; a new one takes the place of the one without a request for longest, and one that brings no request for 15 s closes. The control address was bounded already. Why it works: 12 each, 64 from other entries and those to the store stay within the 100 descriptors kept for them.

--- a/router/src/endpoints.rs
+++ b/router/src/endpoints.rs
@@ -1,11 +1,21 @@
 //! HTTP endpoints for the platform and for operators.
 
+use crate::guests::{Guest, Guests};
+use crate::peers::RETRY_DELAY;
 use crate::router::Router;
 use almondwell_daemon::metrics;
 use almondwell_platform::READY_PATH;
-use async_std::net::TcpListener;
+use almondwell_wire::Turn;
+use async_h1::server::{self, ConnectionStatus};
+use async_std::future::timeout;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
 use std::sync::Arc;
-use tide::{Request, Response, Server, StatusCode};
+use std::time::Duration;
+use tide::{Request, Response, Server, StatusCode, http};
+
+/// Time in which a connection has to bring its next request and to take the answer. Checks and scrapes come every few seconds.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Serves the platform's readiness check.
 pub(crate) async fn ready(router: Arc<Router>, listener: TcpListener) {
@@ -31,9 +41,32 @@
     run(server, listener, "admin").await;
 }
 
-async fn run(server: Server<Arc<Router>>, listener: TcpListener, page: &str) {
-    if let Err(error) = server.listen(listener).await {
-        spdlog::error!("HTTP server stopped", kv: { page, error = error.to_string() });
+async fn run(server: Server<Arc<Router>>, listener: TcpListener, page: &'static str) {
+    let (guests, turn) = (Arc::new(Guests::default()), Turn::default());
+    loop {
+        turn.wait().await;
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let guest = guests.admit(stream.clone()).await;
+                let server = server.clone();
+                task::spawn(async move { serve(&server, stream, guest).await });
+            }
+            Err(error) => {
+                spdlog::warn!("accept failed", kv: { page, error = error.to_string() });
+                task::sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection until it closes, gives way to a new one, or brings no request for [`IDLE_TIMEOUT`].
+async fn serve(pages: &Server<Arc<Router>>, stream: TcpStream, guest: Guest) {
+    let respond = |request: http::Request| pages.respond(request);
+    let mut connection = server::Server::new(stream, respond);
+    while let Ok(Ok(ConnectionStatus::KeepAlive)) =
+        timeout(IDLE_TIMEOUT, connection.accept_one()).await
+    {
+        guest.touch();
     }
 }
 
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -22,6 +22,7 @@
 mod exchange;
 mod fetches;
 pub mod framing;
+mod guests;
 mod history;
 mod loads;
 mod metrics;
