--- a/daemon/src/logs.rs
+++ b/daemon/src/logs.rs
@@ -2,10 +2,9 @@
 
 use crate::process::log_panics;
 use eyre::Result;
-use spdlog::ThreadPool;
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStream, StdStreamSink};
-use std::io::Write;
+use spdlog::{Error, ThreadPool};
 use std::num::NonZeroUsize;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,28 +21,28 @@
     let stdout = StdStreamSink::builder()
         .std_stream(StdStream::Stdout)
         .formatter(JsonFormatter::new())
+        .error_handler(ignore)
         .build()?;
     let pool = ThreadPool::builder().capacity(MAX_QUEUED_LINES).build()?;
     let sink = AsyncPoolSink::builder()
         .sink(Arc::new(stdout))
         .thread_pool(Arc::new(pool))
         .overflow_policy(OverflowPolicy::DropIncoming)
-        .error_handler(|error| report(&error))
+        .error_handler(ignore)
         .build()?;
     let logger = spdlog::Logger::builder()
         .sink(Arc::new(sink))
-        .error_handler(|error| report(&error))
+        .error_handler(ignore)
         .build()?;
     spdlog::set_default_logger(Arc::new(logger));
     log_panics();
     Ok(())
 }
 
-/// Reports an error of the log on standard error. The library's own handler panics if that cannot be written either, in the task
-/// that logs.
-fn report(error: &spdlog::Error) {
-    let _ = writeln!(std::io::stderr(), "cannot write the log: {error}");
-}
+/// Drops the failure to log a line. The library would write it to standard error, where it blocks the thread that logs if
+/// nobody reads there either.
+#[allow(clippy::needless_pass_by_value)]
+fn ignore(_: Error) {}
 
 /// Gives the last lines 50 ms to be written, then closes the log.
 ///
@@ -54,6 +53,6 @@
     std::thread::sleep(FINAL_WRITE_TIME);
     match spdlog::Logger::builder().build() {
         Ok(silent) => std::mem::forget(spdlog::swap_default_logger(Arc::new(silent))),
-        Err(error) => report(&error),
+        Err(error) => ignore(error),
     }
 }
--- a/router/src/endpoints.rs
+++ b/router/src/endpoints.rs
@@ -1,24 +1,27 @@
 //! HTTP endpoints for the platform and for operators.
 
+use crate::guests::{Guest, Guests};
+use crate::peers::RETRY_DELAY;
 use crate::router::Router;
-use almondwell_daemon::{Unbound, keep, listen, metrics, until_bound};
+use almondwell_daemon::{keep, listen, metrics, until_bound};
 use almondwell_platform::READY_PATH;
-use async_std::net::TcpListener;
+use almondwell_wire::Turn;
+use async_h1::server::{self, ConnectionStatus};
+use async_std::future::timeout;
+use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tide::{Request, Response, Server, StatusCode};
+use tide::{Request, Response, Server, StatusCode, http};
 
-/// Delay before a page whose listener failed is served again.
-const RESTART_DELAY: Duration = Duration::from_millis(100);
+/// Time in which a connection has to bring its next request and to take the answer. Checks and scrapes come every few seconds.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Serves the platform's readiness check.
 pub(crate) async fn ready(router: Arc<Router>, listener: TcpListener) {
-    let address = router.settings.ready;
     let mut server = Server::with_state(router);
     server.at(READY_PATH).get(readiness);
-    run(server, "ready", address, Some(listener)).await;
+    run(server, listener, "ready").await;
 }
 
 /// Serves `/health` and `/metrics` once the address is bound; the router serves without them.
@@ -36,40 +39,47 @@
             router.metrics.held_bytes.set(held);
             async move { metrics(&registry) }
         });
-    run(server, "admin", address, None).await;
+    match until_bound(|| listen("admin", address)).await {
+        Ok(listener) => run(server, listener, "admin").await,
+        Err(unbound) => spdlog::error!("HTTP server not started", kv: {
+            page = "admin", error = unbound.to_string()
+        }),
+    }
 }
 
-/// Serves the pages at `address`, the setting `key`, at first on `listener`.
-async fn run(
-    server: Server<Arc<Router>>,
-    key: &'static str,
-    address: SocketAddr,
-    mut listener: Option<TcpListener>,
-) {
-    let serve = || {
-        let (server, first) = (server.clone(), listener.take());
-        async move {
-            let mut next = first;
-            loop {
-                let listener = match next.take() {
-                    Some(listener) => listener,
-                    None => match until_bound(|| listen(key, address)).await {
-                        Ok(listener) => listener,
-                        Err(unbound) => return log_unbound(key, &unbound),
-                    },
-                };
-                if let Err(error) = server.clone().listen(listener).await {
-                    spdlog::error!("HTTP server stopped", kv: { page = key, error = error.to_string() });
-                }
-                task::sleep(RESTART_DELAY).await;
+/// Serves pages on `listener` forever.
+async fn run(server: Server<Arc<Router>>, listener: TcpListener, page: &'static str) {
+    let listener = Arc::new(listener);
+    keep(page, move || accept(server.clone(), listener.clone(), page)).await;
+}
+
+async fn accept(server: Server<Arc<Router>>, listener: Arc<TcpListener>, page: &'static str) {
+    let (guests, turn) = (Arc::new(Guests::default()), Turn::default());
+    loop {
+        turn.wait().await;
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let guest = guests.admit(stream.clone()).await;
+                let server = server.clone();
+                task::spawn(async move { serve(&server, stream, guest).await });
+            }
+            Err(error) => {
+                spdlog::warn!("accept failed", kv: { page, error = error.to_string() });
+                task::sleep(RETRY_DELAY).await;
             }
         }
-    };
-    keep(key, serve).await;
+    }
 }
 
-fn log_unbound(page: &str, unbound: &Unbound) {
-    spdlog::error!("HTTP server not started", kv: { page, error = unbound.to_string() });
+/// Serves one connection until it closes, gives way to a new one, or brings no request for [`IDLE_TIMEOUT`].
+async fn serve(pages: &Server<Arc<Router>>, stream: TcpStream, guest: Guest) {
+    let respond = |request: http::Request| pages.respond(request);
+    let mut connection = server::Server::new(stream, respond);
+    while let Ok(Ok(ConnectionStatus::KeepAlive)) =
+        timeout(IDLE_TIMEOUT, connection.accept_one()).await
+    {
+        guest.touch();
+    }
 }
 
 async fn readiness(request: Request<Arc<Router>>) -> tide::Result {
