Count streams as the old version's that came before an upstream refused connections

Cause: all streams that began at the upstream within 5 s before its new start, by wall clocks, count as ambiguous. Change: an upstream that refuses a connection has no process that listens, so that the streams before that came from the earlier process.

--- a/router/src/backend.rs
+++ b/router/src/backend.rs
@@ -70,6 +70,8 @@
     load: Option<(Load, Duration)>,
     /// When it may get requests while it names a limit.
     quota: Quota,
+    /// Last time at which no process listened at its address.
+    refused_at: Duration,
     /// End of the time for which it wants no request.
     rest_until: Duration,
     /// Shared prompt parts that it has prefilled for this entry, with the time of their last use.
@@ -338,9 +340,18 @@
         self.lock().streams.push(now, stream);
     }
 
-    /// Streams whose first event has arrived from it since `since`.
+    /// Streams whose first event has arrived from it since `since`, and since it last refused a connection: earlier ones came
+    /// from an earlier process.
     pub(crate) fn streams_since(&self, since: Duration) -> Vec<StreamId> {
-        self.lock().streams.since(since)
+        let state = self.lock();
+        state.streams.since(since.max(state.refused_at))
+    }
+
+    /// Records that connecting to it failed.
+    pub(crate) fn record_error(&self, now: Duration, error: &io::Error) {
+        if error.kind() == io::ErrorKind::ConnectionRefused {
+            self.lock().refused_at = now;
+        }
     }
 
     /// Adds a request with `tokens` of prefill to the backlog, and records the use of `part`, the last of its
--- a/router/src/crash.rs
+++ b/router/src/crash.rs
@@ -76,10 +76,13 @@
                 }
                 return true;
             }
-            Err(error) => matches!(
-                error.kind(),
-                io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
-            ),
+            Err(error) => {
+                backend.record_error(router.now(), &error);
+                matches!(
+                    error.kind(),
+                    io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
+                )
+            }
         };
         // The parts are not at fault if the upstream had answered the request for a while, or may be cut off.
         let causes = if is_refused && !is_sound {
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -177,6 +177,7 @@
         Ok(connection) => Some(connection),
         Err(error) => {
             backend.record_failure(delivery.router.now());
+            backend.record_error(delivery.router.now(), &error);
             spdlog::info!("connecting to upstream failed", kv: {
                 request = attempt_id(delivery.request), upstream = backend.upstream.id.as_ref(),
                 error = error.to_string()
