Tell keepers at which upstream a stream began

Cause: only that entry knew which streams the upstream had begun, so that nobody could make their records ambiguous. Change: entries name the upstream to the keepers of a record, which do the same as soon as they learn that it has started anew.

--- a/router/src/backend.rs
+++ b/router/src/backend.rs
@@ -396,7 +396,8 @@
     }
 }
 
-fn key(upstream: &Upstream) -> u32 {
+/// Hash of an upstream's identifier and start time.
+pub(crate) fn key(upstream: &Upstream) -> u32 {
     let started = upstream.started_ms.unwrap_or(0).to_le_bytes();
     let hash = hash::number(&[upstream.id.as_bytes(), &started]);
     // The low half tells a few thousand engines apart.
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -289,6 +289,15 @@
         created
     }
 
+    /// The backend that entries name `key` to each other.
+    pub(crate) fn backend(&self, key: u32) -> Option<Arc<Backend>> {
+        let backends = self.backends.lock().unwrap_or_else(PoisonError::into_inner);
+        backends
+            .values()
+            .find(|backend| backend.key == key)
+            .cloned()
+    }
+
     /// Closes connections that have exceeded their idle timeout.
     pub(crate) fn close_stale(&self) {
         let backends = self.backends.lock().unwrap_or_else(PoisonError::into_inner);
--- a/router/src/streams.rs
+++ b/router/src/streams.rs
@@ -1,6 +1,6 @@
 //! Records at which version of a service each stream begins, and asks other entries for their records.
 
-use crate::backend::Backend;
+use crate::backend::{Backend, key};
 use crate::delivery::Delivery;
 use crate::demand::Demand;
 use crate::peers;
@@ -144,12 +144,19 @@
     for attempt in attempts.into_iter().flatten() {
         let stream = id(attempt);
         backend.record_stream(router.now(), stream);
-        record_origin(router, stream, &origin, lifetime);
+        record_origin(router, stream, &origin, backend.key, lifetime);
     }
 }
 
-/// Records that a stream began at `origin`, here and at the other entries that keep the record.
-fn record_origin(router: &Router, stream: StreamId, origin: &Origin, lifetime: Duration) {
+/// Records that a stream began at `origin`, at the upstream with the key `upstream`, here and at the other entries that keep
+/// the record.
+fn record_origin(
+    router: &Router,
+    stream: StreamId,
+    origin: &Origin,
+    upstream: u32,
+    lifetime: Duration,
+) {
     let shard = router.streams.lock().shard(stream);
     let is_keeper = peers::keeps(router, shard_key(shard));
     let now = router.now();
@@ -166,6 +173,7 @@
     let begun = StreamBegun {
         service: origin.service.clone(),
         version: origin.version.clone(),
+        upstream,
         streams: vec![stream],
         lifetime,
     };
@@ -198,7 +206,7 @@
         previous = previous.upstream.version.as_ref(), streams = streams.len()
     });
     for stream in streams {
-        record_origin(router, stream, &origin, MAX_LIFETIME);
+        record_origin(router, stream, &origin, key(restarted), MAX_LIFETIME);
     }
 }
 
@@ -246,10 +254,17 @@
             let (service, version) = (begun.service, begun.version);
             let origin = Origin { service, version };
             let lifetime = begun.lifetime.min(MAX_LIFETIME);
+            // The entry that relays the streams may be gone when the upstream turns out to have started anew.
+            if let Some(backend) = router.backend(begun.upstream) {
+                for stream in &begun.streams {
+                    backend.record_stream(now, *stream);
+                }
+            }
             let mut known = router.streams.lock();
             for stream in begun.streams {
                 known.record(now, stream, &origin, lifetime, true);
             }
+            drop(known);
             router.streams.writes.request();
         }
         StreamMessage::StreamQuery(query) => {
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -356,6 +356,8 @@
     pub service: Box<str>,
     /// Version of the upstream's software.
     pub version: Box<str>,
+    /// Hash of the identifier and start time of the upstream, as registered.
+    pub upstream: u32,
     pub streams: Vec<StreamId>,
     /// Time until the record expires.
     pub lifetime: Duration,
