Bound what clients that read slowly make a small machine hold

Cause: a piece of an answer and its encoded copy lay beside the account of a client that does not take them, the kernel took 64 KiB (150 KB with its overhead) for each, and the number of connections followed from the descriptors alone. Why it works: connections times what each takes beside the account, and the account's budget, both follow from `memory`.

--- a/router/src/caller.rs
+++ b/router/src/caller.rs
@@ -9,7 +9,7 @@
 use crate::router::Router;
 use crate::stopping;
 use almondwell_core::table::Limits;
-use almondwell_platform::{limit_send_buffer, reset_on_close};
+use almondwell_platform::{limit_send_buffer, limit_unsent, reset_on_close};
 use almondwell_wire::Turn;
 use async_std::future::timeout;
 use async_std::io::{self, WriteExt};
@@ -54,6 +54,10 @@
 /// with the system's default, and 150 KB with this. By the round trip, 24 ms, a response to another region is bounded to 2.7 MB/s.
 const SEND_BUFFER_BYTES: usize = 64 << 10;
 
+/// Bytes that the kernel takes for a caller beyond what is on its way there: one that does not read has nothing on its way, and
+/// what is on its way is not limited, so that the others do not wait for it.
+const UNSENT_BYTES: u32 = 16 << 10;
+
 /// What happens to a caller's connection after a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Next {
@@ -67,6 +71,8 @@
     stream.set_nodelay(true)?;
     if router.settings.memory > 0 {
         limit_send_buffer(stream, SEND_BUFFER_BYTES)?;
+        // Where the system has no such limit, that of the whole buffer remains.
+        let _ = limit_unsent(stream, UNSENT_BYTES);
     }
     Ok(())
 }
--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -18,6 +18,10 @@
 /// Share of the machine's memory that clients may use. The process itself takes 9 MB, and up to 20 with a large configuration;
 /// the rest is for the allocator and for the kernel's buffers.
 const MEMORY_SHARE: f64 = 0.4;
+/// Share of the machine's memory for what connections take beside their accounts.
+const CONNECTION_SHARE: f64 = 0.25;
+/// What a connection with a running request takes beside its account: its task, and a piece of the answer as it was read.
+const CONNECTION_BYTES: f64 = 24.0 * 1024.0;
 const BYTES_PER_MB: f64 = 1e6;
 /// Descriptors that are not for clients: the platform sets 200 aside for files; the others are for the store, other entries,
 /// and the readiness and admin addresses.
@@ -98,11 +102,15 @@
 
 impl Clients {
     pub(crate) fn new(settings: &RouterSettings, metrics: Metrics, clock: Clock) -> Arc<Self> {
-        let memory = match settings.memory {
-            0 => usize::MAX,
-            // Far below 2^53 bytes.
-            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-            megabytes => (f64::from(megabytes) * BYTES_PER_MB * MEMORY_SHARE) as usize,
+        let bytes = f64::from(settings.memory) * BYTES_PER_MB;
+        // Far below 2^53.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let (memory, most_connections) = match settings.memory {
+            0 => (usize::MAX, usize::MAX),
+            _ => (
+                (bytes * MEMORY_SHARE) as usize,
+                (bytes * CONNECTION_SHARE / CONNECTION_BYTES) as usize,
+            ),
         };
         let connections = match settings.descriptors {
             0 => settings.connections,
@@ -113,7 +121,7 @@
         };
         Arc::new(Self {
             clock,
-            connections: connections as usize,
+            connections: (connections as usize).min(most_connections.max(1)),
             closing: AtomicUsize::new(0),
             closed: Event::new(),
             freed: Event::new(),
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -178,7 +178,7 @@
         if is_done && let Err(error) = check_end(delivery, backend, exchange, head, 0).await {
             return RelayOutcome::Error(error);
         }
-        if !writer.write(&pending, is_done).await {
+        if !writer.write(pending, is_done).await {
             return RelayOutcome::CallerClosed;
         }
         if is_done {
@@ -244,7 +244,7 @@
         }
         if !complete.is_empty() || is_last {
             delivery.progress.set_events(events.count());
-            if !writer.write(&complete, is_last).await {
+            if !writer.write(complete, is_last).await {
                 return RelayOutcome::CallerClosed;
             }
         }
@@ -329,30 +329,45 @@
     }
 
     /// Writes a part of the body, and the head before the first one; returns whether writing succeeded.
-    async fn write(&mut self, chunk: &[u8], is_last: bool) -> bool {
+    async fn write(&mut self, chunk: Vec<u8>, is_last: bool) -> bool {
         let mut out = Vec::new();
         if !self.delivery.progress.has_started() {
             record_first_byte(self.delivery, self.head);
             out = self.head.write(self.framing, self.is_closing);
         }
-        let mut caller = self.delivery.caller;
-        for piece in chunk.chunks(MAX_COPIED_BYTES) {
-            if self.framing == Framing::Chunked {
-                write_chunk(&mut out, piece);
-            } else {
-                out.extend_from_slice(piece);
-            }
-            if out.len() >= MAX_COPIED_BYTES {
-                if caller.write_all(&out).await.is_err() {
-                    return false;
-                }
-                out.clear();
+        let mut pieces = chunk.chunks(MAX_COPIED_BYTES);
+        let last = pieces.next_back().unwrap_or_default();
+        for piece in pieces {
+            self.append(&mut out, piece);
+            if !self.send(&out).await {
+                return false;
             }
+            out.clear();
         }
+        self.append(&mut out, last);
+        // A client that reads slowly must not hold the copy and the original.
+        drop(chunk);
         if is_last && self.framing == Framing::Chunked {
             out.extend_from_slice(LAST_CHUNK);
         }
-        caller.write_all(&out).await.is_ok()
+        self.send(&out).await
+    }
+
+    fn append(&self, out: &mut Vec<u8>, piece: &[u8]) {
+        if self.framing == Framing::Chunked {
+            write_chunk(out, piece);
+        } else {
+            out.extend_from_slice(piece);
+        }
+    }
+
+    /// Writes encoded bytes, whose memory the client holds meanwhile.
+    async fn send(&self, out: &[u8]) -> bool {
+        let mut caller = self.delivery.caller;
+        self.delivery.client.hold_anyway(out.len());
+        let is_sent = caller.write_all(out).await.is_ok();
+        self.delivery.client.release(out.len());
+        is_sent
     }
 
     fn completed(&self) -> RelayOutcome {
