--- a/router/src/stream_objects.rs
+++ b/router/src/stream_objects.rs
@@ -2,7 +2,7 @@
 
 use crate::peers;
 use crate::router::Router;
-use crate::streams::{keepers, rank};
+use crate::streams::{MAX_LIFETIME, keepers, rank};
 use almondwell_core::streams::{Extent, Group, Origin, Shard, StreamId};
 use almondwell_platform::{Error, Expect, Written};
 use almondwell_schema::{
@@ -113,9 +113,10 @@
         streams,
         version,
     } = group;
-    let streams = streams
-        .into_iter()
-        .map(|stored| (stored.stream, Duration::from_secs(stored.left_s.into())));
+    let streams = streams.into_iter().map(|stored| {
+        let left = Duration::from_secs(stored.left_s.into());
+        (stored.stream, left.min(MAX_LIFETIME))
+    });
     (Origin { service, version }, streams.collect())
 }
 
--- a/router/src/streams.rs
+++ b/router/src/streams.rs
@@ -30,7 +30,7 @@
 /// before it resumes.
 const KEPT_TIMEOUTS: u32 = 2;
 /// Longest time for which a record is kept, whatever the time limit of its route.
-const MAX_LIFETIME: Duration = Duration::from_mins(10);
+pub(crate) const MAX_LIFETIME: Duration = Duration::from_mins(10);
 /// Difference of the wall clocks of an entry and an upstream that is allowed for.
 const MAX_CLOCK_ERROR: Duration = Duration::from_secs(5);
 /// Time for the reply of another entry: a round trip between regions, and its delay on a busy machine.
