--- a/router/src/request_head.rs
+++ b/router/src/request_head.rs
@@ -18,6 +18,8 @@
 }
 
 /// What the bytes of a head amount to so far.
+// Each value lives for a single match.
+#[allow(clippy::large_enum_variant)]
 pub(crate) enum Parsed {
     Complete(Head),
     /// The head is complete, and parsed it takes as many bytes of memory.
