Complete the list of versions once a minute, also if it cannot be read

Cause: read as a newcomer: a list that another writer replaced by something else, or that came back from an older copy of the store, was left as it was while an entry believed to know it. Change: each entry reads it once a minute, and writes it if it lacks a version, does not exist or cannot be decoded.

--- a/router/src/version_objects.rs
+++ b/router/src/version_objects.rs
@@ -26,9 +26,9 @@
     let mut read_at = router.streams.reads.versions.lock().await;
     if read_at.is_none_or(|at| at < since) {
         let start = next_read(router, *read_at).await;
-        read(router).await?;
+        let stored = read(router).await?;
         *read_at = Some(start);
-        if is_due(router) {
+        if is_due(router) || !stored.is_readable {
             router.streams.version_checks.request();
         }
     }
@@ -39,9 +39,6 @@
 pub(crate) async fn keep(router: Arc<Router>) {
     loop {
         router.streams.version_checks.wait_for(PERIOD).await;
-        if !is_due(&router) {
-            continue;
-        }
         let spread = SPREAD * u32::try_from(peers::count(&router)).unwrap_or(u32::MAX);
         let delay = spread.mul_f64(rand::rng().random_range(0.0..1.0));
         task::sleep(delay).await;
@@ -63,12 +60,16 @@
 /// Adds the registered versions to the stored list, and removes those that have been unused for long.
 async fn update(router: &Router) -> Result<(), Error> {
     loop {
-        let stored = read(router).await?;
+        let Stored {
+            is_readable,
+            version,
+        } = read(router).await?;
         let now = router.now();
         let target = {
             let registered = router.streams.registered();
             let mut versions = router.streams.lock_versions();
-            if !versions.observe(now, &registered) {
+            let is_due = versions.observe(now, &registered);
+            if is_readable && !is_due {
                 return Ok(());
             }
             versions.target(now, &registered)
@@ -81,7 +82,7 @@
             versions: listed.collect(),
         })
         .unwrap_or_default();
-        let expect = stored.map_or(Expect::Absent, Expect::Version);
+        let expect = version.map_or(Expect::Absent, Expect::Version);
         if let Written::Done(_) = router.objects.put(&key(), &value, expect).await? {
             log(&target);
             router.streams.lock_versions().replace(now, target);
@@ -98,18 +99,30 @@
     spdlog::info!("versions in use changed", kv: { versions = listed.join(", ") });
 }
 
-/// Reads the stored list of versions; returns the object's version, `None` if it does not exist.
-async fn read(router: &Router) -> Result<Option<Version>, Error> {
-    let Some(stored) = router.objects.get(&key()).await? else {
-        return Ok(None);
-    };
-    // Content that cannot be decoded, such as that of another writer, is replaced by what this entry knows.
-    if let Ok(StreamVersions { versions }) = serde_json::from_slice(&stored.value) {
+/// The stored list.
+struct Stored {
+    /// Whether the object exists and can be decoded. Otherwise what this entry knows replaces it.
+    is_readable: bool,
+    /// Version of the object, if it exists.
+    version: Option<Version>,
+}
+
+/// Reads the stored list of versions.
+async fn read(router: &Router) -> Result<Stored, Error> {
+    let stored = router.objects.get(&key()).await?;
+    let listed = stored
+        .as_ref()
+        .and_then(|stored| serde_json::from_slice::<StreamVersions>(&stored.value).ok());
+    let is_readable = listed.is_some();
+    if let Some(StreamVersions { versions }) = listed {
         let listed = versions
             .into_iter()
             .map(|StreamOrigin { service, version }| Origin { service, version });
         let mut versions = router.streams.lock_versions();
         versions.replace(router.now(), listed);
     }
-    Ok(Some(stored.version))
+    Ok(Stored {
+        is_readable,
+        version: stored.map(|stored| stored.version),
+    })
 }
