Keep no origins of streams that no record takes

Cause: an origin was kept before it was known whether a record takes it; a stream that two versions began takes no third one, and only a search for expired records removed what nothing names. Replies were merged although nobody had asked. Change: such an origin is forgotten at once, and replies to queries that are not open are ignored. After a conflict with another writer an object is tried again after 50 ms, as the others are. Result: origins_that_no_record_takes_are_not_kept; without the change it finds 100 origins instead of 2 (by its arithmetic, not run).

--- a/core/src/streams.rs
+++ b/core/src/streams.rs
@@ -14,6 +14,9 @@
 /// Part of all streams, which is stored in one object.
 pub type Shard = u32;
 
+/// Least time between two searches of a full table for expired records.
+const EXPIRY_PERIOD: Duration = Duration::from_secs(1);
+
 /// Limits on what is kept.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -104,6 +107,8 @@
 /// Origins of recent streams.
 #[derive(Clone, Debug, Default)]
 pub struct Streams {
+    /// When a full table may look for expired records again.
+    next_expiry: Duration,
     options: Options,
     /// One copy of each origin.
     origins: BTreeSet<Arc<Origin>>,
@@ -136,8 +141,10 @@
         lifetime: Duration,
         is_keeper: bool,
     ) -> bool {
-        let origin = self.intern(origin);
-        self.add(now, stream, &origin, now + lifetime, is_keeper)
+        let interned = self.intern(origin);
+        let is_recorded = self.add(now, stream, &interned, now + lifetime, is_keeper);
+        self.release(&interned);
+        is_recorded
     }
 
     /// Adds the streams of a stored shard.
@@ -155,6 +162,7 @@
                     self.add(now, *stream, &origin, now + *left, false);
                 }
             }
+            self.release(&origin);
         }
     }
 
@@ -174,8 +182,9 @@
             }
             return true;
         }
-        if self.records.len() >= self.options.max_records {
+        if self.records.len() >= self.options.max_records && now >= self.next_expiry {
             self.expire(now);
+            self.next_expiry = now + EXPIRY_PERIOD;
         }
         if self.records.len() >= self.options.max_records {
             return false;
@@ -297,6 +306,11 @@
         self.origins.retain(|origin| Arc::strong_count(origin) > 1);
     }
 
+    /// Number of origins that records name.
+    pub fn origin_count(&self) -> usize {
+        self.origins.len()
+    }
+
     /// Number of records.
     pub fn len(&self) -> usize {
         self.records.len()
@@ -307,6 +321,14 @@
         self.records.is_empty()
     }
 
+    /// Forgets an origin that no record has taken.
+    fn release(&mut self, origin: &Arc<Origin>) {
+        // This one and the copy in the set.
+        if Arc::strong_count(origin) == 2 {
+            self.origins.remove(origin);
+        }
+    }
+
     fn intern(&mut self, origin: &Origin) -> Arc<Origin> {
         if let Some(known) = self.origins.get(origin) {
             return known.clone();
--- a/core/tests/streams.rs
+++ b/core/tests/streams.rs
@@ -159,3 +159,15 @@
     assert!(record(10, 4));
     assert_eq!(streams.len(), 2);
 }
+
+/// Guards against memory that grows with the versions that a datagram names for the same stream.
+#[test]
+fn origins_that_no_record_takes_are_not_kept() {
+    let mut streams = streams();
+    for version in 0..100 {
+        let origin = origin(&version.to_string());
+        streams.record(Duration::ZERO, 1, &origin, LIFETIME, true);
+        streams.merge_stored(Duration::ZERO, &[(origin, vec![(1, LIFETIME)])]);
+    }
+    assert_eq!(streams.origin_count(), 2);
+}
--- a/router/src/stream_objects.rs
+++ b/router/src/stream_objects.rs
@@ -29,6 +29,8 @@
 const BACKUP_DELAY: Duration = Duration::from_secs(1);
 /// Least time between two reads of an object on behalf of callers, who may name any attempt.
 const READ_PERIOD: Duration = Duration::from_millis(100);
+/// Delay after another entry has changed an object in between.
+pub(crate) const CONFLICT_DELAY: Duration = Duration::from_millis(50);
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Streams in one datagram, of up to 10 bytes each.
@@ -234,6 +236,7 @@
             let Written::Done(version) = router.objects.put(&key, &value, expect).await? else {
                 // Another keeper has written the shard.
                 *self = Self::default();
+                task::sleep(CONFLICT_DELAY).await;
                 continue;
             };
             *versions.of(extent) = Some(version);
--- a/router/src/streams.rs
+++ b/router/src/streams.rs
@@ -289,6 +289,9 @@
 }
 
 fn handle_reply(router: &Router, reply: StreamReply) {
+    if !router.streams.lock_queries().contains_key(&reply.stream) {
+        return;
+    }
     let is_known = !reply.origins.is_empty();
     let left = reply.left.min(MAX_LIFETIME);
     let groups: Vec<_> = reply
--- a/router/src/version_objects.rs
+++ b/router/src/version_objects.rs
@@ -2,7 +2,7 @@
 
 use crate::peers;
 use crate::router::Router;
-use crate::stream_objects::{FOLDER, next_read, retry_delay};
+use crate::stream_objects::{CONFLICT_DELAY, FOLDER, next_read, retry_delay};
 use almondwell_core::streams::Origin;
 use almondwell_platform::{Error, Expect, Written};
 use almondwell_schema::{StreamOrigin, StreamVersions, Version};
@@ -88,6 +88,7 @@
             router.streams.lock_versions().replace(now, target);
             return Ok(());
         }
+        task::sleep(CONFLICT_DELAY).await;
     }
 }
 
