Survive a reload signal before the settings are read

Cause: the handlers were set after the settings were read and the log was set up; until then the signal has its default action. Change: the first step of each daemon sets a handler that does nothing; `signals` handles it from its call on. What remains is the time until main runs.

--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -3,6 +3,7 @@
 use crate::arguments::{Command, parse};
 use crate::check::Check;
 use crate::logs::{close, set_up};
+use crate::signal::ignore_reloads;
 use eyre::Result;
 use lexopt::Parser;
 use std::env;
@@ -59,6 +60,7 @@
     F: Future<Output = Result<()>>,
     S: Check,
 {
+    ignore_reloads()?;
     // `--check` prints its errors as text only.
     let is_check = env::args_os().any(|argument| argument == "--check");
     let settings = match parse::<S>(command, parser) {
--- a/daemon/src/signal.rs
+++ b/daemon/src/signal.rs
@@ -4,6 +4,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::io;
+use std::sync::Arc;
 
 /// Signals that may wait to be received; one stop and one reload are enough, since repeats add nothing.
 const MAX_QUEUED_SIGNALS: usize = 2;
@@ -17,6 +18,12 @@
     Stop(&'static str),
 }
 
+/// Ignores SIGHUP until [`signals`] handles it; without a handler it ends the process.
+pub(crate) fn ignore_reloads() -> io::Result<()> {
+    signal_hook::flag::register(SIGHUP, Arc::default())?;
+    Ok(())
+}
+
 /// Returns a channel that receives each signal, from a separate thread.
 ///
 /// Fails if the signal handlers cannot be registered or the thread cannot be started.
--- a/tests/tests/cli.rs
+++ b/tests/tests/cli.rs
@@ -160,3 +160,22 @@
     }
     Ok(())
 }
+
+/// Guards against a reload signal that ends a process which has not read its settings yet.
+#[test]
+fn a_reload_signal_at_the_start_is_survived() -> Result<()> {
+    let settings = Path::new(env!("CARGO_TARGET_TMPDIR")).join("late-settings.ini");
+    // A file of an earlier run may be there.
+    let _ = std::fs::remove_file(&settings);
+    ensure!(Command::new("mkfifo").arg(&settings).status()?.success());
+    let flags = ["route", "--settings", &settings.to_string_lossy()].map(String::from);
+    let mut process = Process::start("almondwell", &flags)?;
+    // The process has opened its end once this one can be opened.
+    let writer = File::options().write(true).open(&settings)?;
+    process.signal("HUP")?;
+    std::thread::sleep(Duration::from_millis(300));
+    let status = process.exit_status();
+    drop(writer);
+    ensure!(status.is_none(), "ended: {status:?}");
+    Ok(())
+}
