--- a/router/src/guests.rs
+++ b/router/src/connection_limit.rs
@@ -1,4 +1,4 @@
-//! Connections to a page for the platform or for operators, a few at a time.
+//! Limits the connections to a page for the platform or for operators.
 
 use async_std::future::timeout;
 use async_std::net::{Shutdown, TcpStream};
@@ -16,7 +16,7 @@
 
 /// Open connections of one page.
 #[derive(Default)]
-pub(crate) struct Guests {
+pub(crate) struct Limit {
     closed: Event,
     state: Mutex<State>,
 }
@@ -28,20 +28,20 @@
     open: BTreeMap<Id, (TcpStream, Option<Instant>)>,
 }
 
-/// One connection, which counts until this is dropped.
-pub(crate) struct Guest {
-    guests: Arc<Guests>,
+/// Place of one connection, free again once this is dropped.
+pub(crate) struct Slot {
     id: Id,
+    limit: Arc<Limit>,
 }
 
-impl Guests {
+impl Limit {
     /// Adds a connection, in place of the one without a request for longest if there are as many as allowed.
-    pub(crate) async fn admit(self: &Arc<Self>, stream: TcpStream) -> Guest {
+    pub(crate) async fn admit(self: &Arc<Self>, stream: TcpStream) -> Slot {
         loop {
             let closed = self.closed.listen();
             if let Some(id) = self.insert(&stream) {
-                let guests = self.clone();
-                return Guest { guests, id };
+                let limit = self.clone();
+                return Slot { id, limit };
             }
             self.evict();
             // If none closes in time, another one gives way.
@@ -77,19 +77,19 @@
     }
 }
 
-impl Guest {
+impl Slot {
     /// Records a request.
     pub(crate) fn touch(&self) {
-        let mut state = self.guests.lock();
+        let mut state = self.limit.lock();
         if let Some((_, Some(since))) = state.open.get_mut(&self.id) {
             *since = Instant::now();
         }
     }
 }
 
-impl Drop for Guest {
+impl Drop for Slot {
     fn drop(&mut self) {
-        self.guests.lock().open.remove(&self.id);
-        self.guests.closed.notify(usize::MAX);
+        self.limit.lock().open.remove(&self.id);
+        self.limit.closed.notify(usize::MAX);
     }
 }
--- a/router/src/endpoints.rs
+++ b/router/src/endpoints.rs
@@ -1,6 +1,6 @@
 //! HTTP endpoints for the platform and for operators.
 
-use crate::guests::{Guest, Guests};
+use crate::connection_limit::{Limit, Slot};
 use crate::peers::RETRY_DELAY;
 use crate::router::Router;
 use almondwell_daemon::{keep, listen, metrics, until_bound};
@@ -54,14 +54,14 @@
 }
 
 async fn accept(server: Server<Arc<Router>>, listener: Arc<TcpListener>, page: &'static str) {
-    let (guests, turn) = (Arc::new(Guests::default()), Turn::default());
+    let (limit, turn) = (Arc::new(Limit::default()), Turn::default());
     loop {
         turn.wait().await;
         match listener.accept().await {
             Ok((stream, _)) => {
-                let guest = guests.admit(stream.clone()).await;
+                let slot = limit.admit(stream.clone()).await;
                 let server = server.clone();
-                task::spawn(async move { serve(&server, stream, guest).await });
+                task::spawn(async move { serve(&server, stream, slot).await });
             }
             Err(error) => {
                 spdlog::warn!("accept failed", kv: { page, error = error.to_string() });
@@ -72,13 +72,13 @@
 }
 
 /// Serves one connection until it closes, gives way to a new one, or brings no request for [`IDLE_TIMEOUT`].
-async fn serve(pages: &Server<Arc<Router>>, stream: TcpStream, guest: Guest) {
+async fn serve(pages: &Server<Arc<Router>>, stream: TcpStream, slot: Slot) {
     let respond = |request: http::Request| pages.respond(request);
     let mut connection = server::Server::new(stream, respond);
     while let Ok(Ok(ConnectionStatus::KeepAlive)) =
         timeout(IDLE_TIMEOUT, connection.accept_one()).await
     {
-        guest.touch();
+        slot.touch();
     }
 }
 
