Log which configuration admitted a request, and by which key

Cause: nothing in the logs tells the hypotheses of changes not in force apart: `table` is the version at the end of a request, and no line says which version admitted it, whether it had a key, which service and address an upstream was registered with, or when the store last answered. Change: `request ended` names `admitted_by`, `key` (known, unknown, missing), `is_public`, `service` and `confirmed_ms_ago`; `request sent` names `admitted_by`, `service` and `address`; `configuration read` the object's revision. What a key shows is a type of the table, `Credential`, with the rule of admission as it was.

--- a/core/src/table.rs
+++ b/core/src/table.rs
@@ -139,6 +139,37 @@
     pub slots: Option<u32>,
 }
 
+/// What the key of a request shows of its caller.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum Credential {
+    /// The key of a workspace.
+    Known(Arc<Workspace>),
+    /// No key.
+    #[default]
+    Missing,
+    /// A key that no workspace has.
+    Unknown,
+}
+
+impl Credential {
+    /// Name for logs.
+    pub const fn label(&self) -> &'static str {
+        match self {
+            Self::Known(_) => "known",
+            Self::Missing => "missing",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    /// The workspace of the caller, if it is known.
+    pub const fn workspace(&self) -> Option<&Arc<Workspace>> {
+        match self {
+            Self::Known(workspace) => Some(workspace),
+            Self::Missing | Self::Unknown => None,
+        }
+    }
+}
+
 /// One workspace.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Workspace {
@@ -181,9 +212,18 @@
         }
     }
 
-    /// Whether a request on `route` from `workspace`, `None` if it has no known key, is admitted.
-    pub const fn is_admitted(&self, route: &Route, workspace: Option<&Workspace>) -> bool {
-        workspace.is_some() || route.is_public || !self.requires_key
+    /// What the key of a request, if it has one, shows of its caller.
+    pub fn credential(&self, key: Option<&str>) -> Credential {
+        match key.map(|key| self.keys.get(key)) {
+            None => Credential::Missing,
+            Some(None) => Credential::Unknown,
+            Some(Some(workspace)) => Credential::Known(workspace.clone()),
+        }
+    }
+
+    /// Whether a request on `route` with `credential` is admitted.
+    pub const fn is_admitted(&self, route: &Route, credential: &Credential) -> bool {
+        matches!(credential, Credential::Known(_)) || route.is_public || !self.requires_key
     }
 
     /// Workspaces by API key.
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -377,10 +377,7 @@
             last_event,
             rank: request.job.model.is_some().then_some(admitted.rank),
             upstream: &backend.upstream.id,
-            workspace: admitted
-                .workspace
-                .as_ref()
-                .map(|workspace| &*workspace.name),
+            workspace: admitted.workspace().map(|workspace| &*workspace.name),
         },
     );
     if !request.body.is_empty() || request.has_body_length() {
--- a/router/src/dispatch.rs
+++ b/router/src/dispatch.rs
@@ -2,14 +2,15 @@
 
 use crate::backend::{Backend, Queued};
 use crate::client::Client;
+use crate::continuation::{self, Continuation};
 use crate::crash::{self, Sign};
 use crate::delivery::{self, Delivery};
 use crate::refusal::{Reason, Refusal};
 use crate::request::Request;
 use crate::router::{Router, milliseconds};
-use crate::{continuation, stopping, usage};
+use crate::{stopping, usage};
 use almondwell_core::hash;
-use almondwell_core::table::{Rank, Route, Table, Workspace};
+use almondwell_core::table::{Credential, Rank, Route, Table, Version, Workspace};
 use almondwell_daemon::disconnected;
 use almondwell_schema::{Fingerprint, Verdict};
 use async_std::net::TcpStream;
@@ -45,6 +46,7 @@
     /// Range of the service's upstreams, in placement order, that serves requests like this one; `None` for
     /// all.
     pub(crate) band: Option<Range<usize>>,
+    pub(crate) basis: Basis,
     pub(crate) deadline: Duration,
     pub(crate) fingerprint: Fingerprint,
     /// Whether the service's upstreams are engines.
@@ -54,7 +56,30 @@
     pub(crate) service: Box<str>,
     /// The only version that may serve the request, if it continues a stream.
     pub(crate) version: Option<Box<str>>,
-    pub(crate) workspace: Option<Arc<Workspace>>,
+}
+
+impl Admitted {
+    pub(crate) fn workspace(&self) -> Option<&Arc<Workspace>> {
+        self.basis.credential.workspace()
+    }
+}
+
+/// What a request was admitted or refused by.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Basis {
+    pub(crate) credential: Credential,
+    /// Version of the configuration; 0 for none.
+    pub(crate) table: Version,
+}
+
+impl Basis {
+    fn new(table: Option<&Table>, request: &Request) -> Self {
+        let key = request.job.key.as_deref();
+        Self {
+            credential: table.map_or_else(Credential::default, |table| table.credential(key)),
+            table: table.map_or(0, |table| table.version),
+        }
+    }
 }
 
 /// State of a request, shared by its delivery and the deadline and disconnect handlers that run concurrently.
@@ -161,9 +186,8 @@
 ) -> Outcome {
     let admitted = match admit(router, request).await {
         Ok(admitted) => admitted,
-        Err(refusal) => {
-            let outcome = Outcome::Refused(refusal);
-            log(router, request, None, &Progress::default(), outcome);
+        Err((refusal, basis)) => {
+            log_refused(router, request, &basis, refusal);
             return Outcome::Refused(refusal);
         }
     };
@@ -201,7 +225,14 @@
     stopping::record_time(delivery, start, outcome);
     usage::record_end(delivery);
     check_holder(delivery);
-    log(router, request, Some(&admitted), &progress, outcome);
+    log(
+        router,
+        request,
+        &admitted.basis,
+        Some(&admitted),
+        &progress,
+        outcome,
+    );
     outcome
 }
 
@@ -244,29 +275,23 @@
 ///
 /// Fails when the request is refused.
 pub(crate) fn check(router: &Router, request: &Request) -> Result<(), Refusal> {
-    let checked = active_table(router).and_then(|table| {
-        authorize(router, &table, request)?;
-        Ok(())
-    });
+    let table = router.table();
+    let basis = Basis::new(table.as_deref(), request);
+    let checked = authorize(router, table.as_deref(), &basis, request).map(|_| ());
     if let Err(refusal) = checked {
-        let outcome = Outcome::Refused(refusal);
-        log(router, request, None, &Progress::default(), outcome);
+        log_refused(router, request, &basis, refusal);
     }
     checked
 }
 
-fn active_table(router: &Router) -> Result<Arc<Table>, Refusal> {
-    router
-        .table()
-        .ok_or_else(|| Refusal::retryable(Reason::NoConfiguration, retry_after()))
-}
-
-/// The route and the workspace of a request.
+/// The configuration and the route of a request.
 fn authorize<'a>(
     router: &Router,
-    table: &'a Table,
+    table: Option<&'a Table>,
+    basis: &Basis,
     request: &Request,
-) -> Result<(&'a Arc<Route>, Option<&'a Arc<Workspace>>), Refusal> {
+) -> Result<(&'a Table, &'a Arc<Route>), Refusal> {
+    let table = table.ok_or_else(|| Refusal::retryable(Reason::NoConfiguration, retry_after()))?;
     // While the configuration may be stale, a newer one may have the route or key.
     let unknown = |status, reason| {
         if router.is_current() {
@@ -278,49 +303,64 @@
     let route = table
         .route(&request.host, request.path())
         .ok_or_else(|| unknown(404, Reason::UnknownRoute))?;
-    let job = &request.job;
-    if job.attempt.is_none() {
+    if request.job.attempt.is_none() {
         return Err(Refusal::invalid(400, Reason::Malformed));
     }
-    let workspace = job.key.as_ref().and_then(|key| table.keys().get(key));
-    if !table.is_admitted(route, workspace.map(|workspace| &**workspace)) {
+    if !table.is_admitted(route, &basis.credential) {
         return Err(unknown(401, Reason::UnknownKey));
     }
-    Ok((route, workspace))
+    Ok((table, route))
 }
 
-async fn admit(router: &Router, request: &Request) -> Result<Admitted, Refusal> {
+async fn admit(router: &Router, request: &Request) -> Result<Admitted, (Refusal, Basis)> {
     let continuation = {
-        let table = active_table(router)?;
-        let (route, _) = authorize(router, &table, request)?;
-        continuation::find(router, route, request).await
+        let table = router.table();
+        let basis = Basis::new(table.as_deref(), request);
+        match authorize(router, table.as_deref(), &basis, request) {
+            Ok((_, route)) => continuation::find(router, route, request).await,
+            Err(refusal) => return Err((refusal, basis)),
+        }
     };
     // The configuration may have changed meanwhile.
-    let table = active_table(router)?;
-    let (route, workspace) = authorize(router, &table, request)?;
+    let table = router.table();
+    let basis = Basis::new(table.as_deref(), request);
+    let admitted = authorize(router, table.as_deref(), &basis, request)
+        .and_then(|(table, route)| admit_to(router, table, route, &basis, &continuation, request));
+    admitted.map_err(|refusal| (refusal, basis))
+}
+
+/// Admits a request to the service of its route, or to the one that began the stream that it continues.
+fn admit_to(
+    router: &Router,
+    table: &Table,
+    route: &Arc<Route>,
+    basis: &Basis,
+    continuation: &Continuation,
+    request: &Request,
+) -> Result<Admitted, Refusal> {
     let job = &request.job;
     let (service, version) = continuation.destination(router, route)?;
-    let service = &*service;
     let fingerprint = fingerprint(request);
     if crash::is_fatal(router, request, fingerprint) {
         return Err(Refusal::retryable(Reason::Quarantined, retry_after()));
     }
     let band = job.model.as_ref().map(|_| {
         let gap = route.gap.unwrap_or(Duration::MAX);
-        let count = router.ready().get(service).map_or(0, Vec::len);
+        let count = router.ready().get(&service).map_or(0, Vec::len);
         let services = &router.services;
-        services.assign_band(router.now(), service, gap, count, job.work())
+        services.assign_band(router.now(), &service, gap, count, job.work())
     });
+    let workspace = basis.credential.workspace();
     Ok(Admitted {
         band,
+        basis: basis.clone(),
         deadline: job.deadline.unwrap_or(route.timeout).min(route.timeout),
         fingerprint,
-        is_engine: job.model.is_some() || is_engine(&table, service),
+        is_engine: job.model.is_some() || is_engine(table, &service),
         rank: table.rank(workspace.map(|workspace| &**workspace), route),
         route: route.clone(),
-        service: service.into(),
+        service,
         version,
-        workspace: workspace.cloned(),
     })
 }
 
@@ -336,9 +376,15 @@
     hash::number_with_pieces(&parts, request.body.pieces())
 }
 
+fn log_refused(router: &Router, request: &Request, basis: &Basis, refusal: Refusal) {
+    let outcome = Outcome::Refused(refusal);
+    log(router, request, basis, None, &Progress::default(), outcome);
+}
+
 fn log(
     router: &Router,
     request: &Request,
+    basis: &Basis,
     admitted: Option<&Admitted>,
     progress: &Progress,
     outcome: Outcome,
@@ -363,11 +409,16 @@
     spdlog::info!("request ended", kv: {
         request = request.job.attempt.as_deref().unwrap_or("-"),
         route = admitted.map_or("-", |admitted| &admitted.route.name),
+        is_public = admitted.is_some_and(|admitted| admitted.route.is_public),
+        service = admitted.map_or("-", |admitted| &admitted.service),
+        key = basis.credential.label(),
         workspace = admitted
-            .and_then(|admitted| admitted.workspace.as_ref())
+            .and_then(Admitted::workspace)
             .map_or("-", |workspace| &workspace.name),
+        admitted_by = basis.table,
         table = router.table().map_or(0, |table| table.version),
         is_current = router.is_current(),
+        confirmed_ms_ago = milliseconds(router.confirmation_age()),
         outcome = label, status, reason,
         verdict = verdict.label(),
         first_ms = progress.first_byte_ms.load(Ordering::Acquire),
--- a/router/src/fetches.rs
+++ b/router/src/fetches.rs
@@ -147,7 +147,7 @@
     let mut is_valid = true;
     if !held.table.is_empty() {
         match decode::parse_table(&held.table) {
-            Ok(table) => router.adopt(table, held.table, "entry"),
+            Ok(table) => router.adopt(table, held.table, "entry", None),
             Err(fault) => {
                 is_valid = false;
                 spdlog::error!("invalid configuration ignored", kv: {
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -19,6 +19,7 @@
 use almondwell_core::table::Table;
 use almondwell_core::upstream::{Upstream, UpstreamId};
 use almondwell_daemon::{BootClock, Clock};
+use almondwell_platform::store::Revision;
 use almondwell_platform::{Objects, Store};
 use almondwell_schema::{Digest, RouterSettings};
 use almondwell_wire::Socket;
@@ -38,6 +39,8 @@
 /// Configuration, upstreams and connections to peers of one router process.
 pub(crate) struct Router {
     active: Active,
+    /// Time of `clock` at which the store last confirmed the configuration, in milliseconds.
+    confirmed_ms: AtomicU64,
     /// Times of recent answers, which decide what a stopping router still begins.
     answer_times: Mutex<AnswerTimes<Class>>,
     backends: Mutex<BTreeMap<UpstreamId, Arc<Backend>>>,
@@ -93,6 +96,7 @@
         let (clock, metrics) = (Clock::start(), Metrics::default());
         Self {
             active: Active::default(),
+            confirmed_ms: AtomicU64::new(0),
             answer_times: Mutex::new(AnswerTimes::new(answer_times::Options::default())),
             backends: Mutex::default(),
             boot_clock: BootClock,
@@ -154,8 +158,28 @@
         }
     }
 
-    /// Activates a table if its version is newer than the active one's. `source` is logged.
-    pub(crate) fn adopt(&self, table: Table, raw: Vec<u8>, source: &str) {
+    /// Records that the store has answered with all changes of the configuration.
+    pub(crate) fn confirm_configuration(&self) {
+        self.confirmed_ms
+            .store(milliseconds(self.now()), Ordering::Release);
+        self.set_current(true);
+    }
+
+    /// Time since the store last confirmed that the configuration is the latest.
+    pub(crate) fn confirmation_age(&self) -> Duration {
+        let confirmed = Duration::from_millis(self.confirmed_ms.load(Ordering::Acquire));
+        self.now().saturating_sub(confirmed)
+    }
+
+    /// Activates a table if its version is newer than the active one's. `source` and `revision`, that of the object in the
+    /// store if it is known, are logged.
+    pub(crate) fn adopt(
+        &self,
+        table: Table,
+        raw: Vec<u8>,
+        source: &str,
+        revision: Option<Revision>,
+    ) {
         let table = Arc::new(table);
         let held = self.active.adopt(Configuration {
             raw,
@@ -163,7 +187,7 @@
         });
         let is_kept = held.is_some_and(|held| held >= table.version);
         spdlog::info!("configuration read", kv: {
-            source, version = table.version, held = held.unwrap_or(0),
+            source, revision = revision.unwrap_or(0), version = table.version, held = held.unwrap_or(0),
             routes = table.len(), keys = table.keys().len(),
             outcome = if is_kept { "kept" } else { "adopted" }
         });
--- a/router/src/send_log.rs
+++ b/router/src/send_log.rs
@@ -16,7 +16,10 @@
     spdlog::info!("request sent", kv: {
         request = attempt_id(delivery.request),
         upstream = backend.upstream.id.as_ref(),
+        service = backend.upstream.service.as_ref(),
+        address = backend.upstream.address.to_string(),
         version = backend.upstream.version.as_ref(),
+        admitted_by = delivery.admitted.basis.table,
         resumes = delivery.request.job.resumes.as_deref().unwrap_or("-"),
         last_event = history.events.last().unwrap_or("-"),
         send = history.sends,
--- a/router/src/usage/begin.rs
+++ b/router/src/usage/begin.rs
@@ -83,7 +83,7 @@
 /// that relayed its first event.
 fn counted_workspace(delivery: Delivery<'_>) -> Option<&str> {
     let is_counted = delivery.router.usage.is_counting && delivery.request.job.last_event.is_none();
-    let workspace = delivery.admitted.workspace.as_ref();
+    let workspace = delivery.admitted.workspace();
     workspace
         .filter(|_| is_counted)
         .map(|workspace| &*workspace.name)
--- a/router/src/watch.rs
+++ b/router/src/watch.rs
@@ -126,7 +126,7 @@
     }
 
     fn record_current(router: &Router, _revision: Option<Revision>) {
-        router.set_current(true);
+        router.confirm_configuration();
     }
 
     fn record_outage(router: &Router) {
@@ -252,7 +252,9 @@
 
 fn apply_configuration(router: &Router, item: Item<Configuration>) {
     match item.record {
-        Ok(Configuration { raw, table }) => router.adopt(table, raw, "store"),
+        Ok(Configuration { raw, table }) => {
+            router.adopt(table, raw, "store", Some(item.revision));
+        }
         Err(fault) => spdlog::error!("invalid configuration ignored", kv: {
             object = item.name.as_ref(), revision = item.revision, fault = fault.as_ref()
         }),
