Refuse revoked keys on public routes

What callers saw: a key that was taken away with a confirmed version went on working on public routes, at all routers, until the process ended. Cause: a public route skipped the check of a key altogether, not just the need for one (`Table::is_admitted`); a revoked key looked like none. The class of fault: an exemption from a rule that takes more than it names. Change: a given key has to be known if the configuration has workspaces; without a key a public route is open as before, and without workspaces keys mean nothing. Why it works: admission is the one place that reads keys, at the head of a request and again after its body.

--- a/core/src/table.rs
+++ b/core/src/table.rs
@@ -78,7 +78,7 @@
     pub gap: Option<Duration>,
     /// Host name of the requests.
     pub host: Box<str>,
-    /// Whether requests without an API key are accepted.
+    /// Whether requests without an API key are accepted. One that has a key needs a known one.
     pub is_public: bool,
     /// Whether responses are event streams.
     pub is_stream: bool,
@@ -221,9 +221,14 @@
         }
     }
 
-    /// Whether a request on `route` with `credential` is admitted.
+    /// Whether a request on `route` with `credential` is admitted. A public route admits requests without a key, but none
+    /// with a key that was revoked.
     pub const fn is_admitted(&self, route: &Route, credential: &Credential) -> bool {
-        matches!(credential, Credential::Known(_)) || route.is_public || !self.requires_key
+        match credential {
+            Credential::Known(_) => true,
+            Credential::Missing => route.is_public || !self.requires_key,
+            Credential::Unknown => !self.requires_key,
+        }
     }
 
     /// Workspaces by API key.
--- a/core/tests/table.rs
+++ b/core/tests/table.rs
@@ -94,3 +94,24 @@
     table.add_workspace(workspace("second", Some(1)), ["k1".into()]);
     assert!(is_admitted(&table, "/x", Some("k1")));
 }
+
+/// Guards against a public route that admits a key which no workspace has any more.
+#[test]
+fn a_public_route_requires_a_given_key_to_be_known() {
+    let mut table = Table::new(1);
+    table.add(Route {
+        is_public: true,
+        ..route("news", "/news/", 0)
+    });
+    let is_admitted = |table: &Table, key: Option<&str>| {
+        let route = table.route("a.example", "/news/1");
+        let credential = table.credential(key);
+        table.is_admitted(route.expect("a matching route"), &credential)
+    };
+    // Without workspaces keys mean nothing.
+    assert!(is_admitted(&table, Some("k1")));
+    table.add_workspace(workspace("first", Some(0)), ["k0".into()]);
+    assert!(is_admitted(&table, None));
+    assert!(is_admitted(&table, Some("k0")));
+    assert!(!is_admitted(&table, Some("k1")));
+}
