Replace watches that were cut off before a change is due

What callers saw: routes that had been dropped were run and new ones got 404, at all routers at once, with `is_current: true`, for up to 3 s after the confirmation of a version; 2.5 s are allowed. Cause: a watch of the store waits up to 2.5 s and is given 0.5 s of grace. If it is cut off without a sign, nothing tells the router of a change until then. The time followed from `contact` alone, as if only silence of all connections, a disturbance, could happen; "a watch that is waiting may be cut off" also in calm. One router learns of the version from the others, but not if the watches of all are cut off at the same moment. The class of fault: a timeout derived from another bound than the one that it has to keep. The users' record fits: all routers at the same version in the same second. Why it works: the first call after the silence is answered at once with all that was missed; with 2.5 s it starts 1.5 s after the watch.

--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -1,14 +1,14 @@
 //! How long a watch of the store may wait, and when its connection counts as silent.
 //!
 //! A connection that went silent shows only by an answer that is overdue. Until then changes are missed, so the wait, the
-//! grace after it and a new call on another connection have to fit into `contact`, the time after which the limits of
-//! the platform bind again. Each wait without a change is a call that costs money, so it is no shorter than that.
+//! grace after it and a new call on another connection have to fit into the time within which a change has to take effect.
+//! Each wait without a change is a call that costs money, so it is no shorter than that.
 
 use std::time::Duration;
 
 /// Time for a call on a new connection: connecting, the request, and the first bytes of a large answer.
 const CALL: Duration = Duration::from_millis(500);
-/// Part of `contact` that is left for the delay after a change and for a busy machine.
+/// Part of the time for a change that is left for the delay after an earlier one and for a busy machine.
 const RESERVE: Duration = Duration::from_millis(500);
 /// Grace for a healthy store, which answers within milliseconds; includes a lost packet that is sent again.
 const GRACE: Duration = Duration::from_millis(500);
@@ -17,7 +17,7 @@
 /// Longest wait for some time after a failure: a failing store may not report changes to watches, and two such watches
 /// fit into the time within which a change has to take effect.
 const RECOVERY_WAIT: Duration = Duration::from_secs(1);
-/// Shortest wait, for settings with a very small `contact`.
+/// Shortest wait, where little time is left for a change.
 const MIN_WAIT: Duration = Duration::from_millis(250);
 
 /// Time limits of one watch.
@@ -29,35 +29,57 @@
     pub wait: Duration,
 }
 
-/// Watches of one kind of objects, one after the other.
+/// Times that watches of one kind of objects have to keep.
 #[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Time within which a change has to take effect.
+    pub apply: Duration,
+    /// Time of undisturbed running after which the time limits of the platform bind.
+    pub contact: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            apply: Duration::from_millis(2500),
+            contact: Duration::from_secs(4),
+        }
+    }
+}
+
+/// Watches of one kind of objects, one after the other.
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Watch {
-    contact: Duration,
     last_failure: Option<Duration>,
     last_late_answer: Option<Duration>,
+    options: Options,
 }
 
 impl Watch {
-    /// Watches by an entry with this setting `contact`.
-    pub const fn new(contact: Duration) -> Self {
+    /// No watch yet.
+    pub fn new(options: Options) -> Self {
         Self {
-            contact,
-            last_failure: None,
-            last_late_answer: None,
+            options,
+            ..Self::default()
         }
     }
 
     /// Limits of a watch that starts at `now`.
     pub fn limits(&self, now: Duration) -> Limits {
+        let Options { apply, contact } = self.options;
+        // A connection that goes silent counts as a disturbance only in part of the cases: a single watch may be cut off.
+        let available = apply.min(contact).saturating_sub(RESERVE + CALL);
         let is_recent =
-            |at: Option<Duration>| at.is_some_and(|at| now.saturating_sub(at) < self.contact);
+            |at: Option<Duration>| at.is_some_and(|at| now.saturating_sub(at) < contact);
         let has_failed = is_recent(self.last_failure);
         let grace = if has_failed || is_recent(self.last_late_answer) {
             LONG_GRACE
+                .min(available.saturating_sub(MIN_WAIT))
+                .max(GRACE)
         } else {
             GRACE
         };
-        let longest = self.contact.saturating_sub(RESERVE + CALL + grace);
+        let longest = available.saturating_sub(grace);
         let wait = if has_failed {
             longest.min(RECOVERY_WAIT)
         } else {
--- a/core/tests/watch.rs
+++ b/core/tests/watch.rs
@@ -1,9 +1,9 @@
 //! Time limits of watches: silence is noticed in time, no earlier than necessary, and slow stores are followed.
 
-use almondwell_core::watch::{Limits, Watch};
+use almondwell_core::watch::{Limits, Options, Watch};
 use std::time::Duration;
 
-/// Time for a new call, and the reserve that has to be left of `contact`.
+/// Time for a new call, and the reserve that has to be left of the time for a change.
 const CALL: Duration = Duration::from_millis(500);
 const RESERVE: Duration = Duration::from_millis(500);
 
@@ -19,8 +19,15 @@
     None,
 }
 
-fn watch(contact: u64, past: Past) -> Watch {
-    let mut watch = Watch::new(at(contact));
+fn options(apply: u64, contact: u64) -> Options {
+    Options {
+        apply: at(apply),
+        contact: at(contact),
+    }
+}
+
+fn watch(options: Options, past: Past) -> Watch {
+    let mut watch = Watch::new(options);
     match past {
         Past::Failure(time) => watch.record_failure(at(time)),
         Past::LateAnswer(time) => {
@@ -35,32 +42,37 @@
 }
 
 macro_rules! cases {
-    ($($name:ident: $contact:expr, $past:expr, $now:expr => $wait:expr, $grace:expr;)*) => {
+    ($($name:ident: $apply:expr, $contact:expr, $past:expr, $now:expr => $wait:expr, $grace:expr;)*) => {
         $(#[test]
         fn $name() {
-            let limits = watch($contact, $past).limits(at($now));
+            let limits = watch(options($apply, $contact), $past).limits(at($now));
             let expected = Limits { grace: at($grace), wait: at($wait) };
             assert_eq!(limits, expected);
             let silence = limits.wait + limits.grace;
-            assert!(silence + CALL + RESERVE <= at($contact), "{silence:?} of silence");
+            assert!(silence + CALL + RESERVE <= at($apply.min($contact)), "{silence:?} of silence");
         })*
     };
 }
 
-// Guards against silence that is noticed only when `contact` is over, and against waits that are shorter than needed.
+// Guards against silence that is noticed only when a change should have taken effect or `contact` is over, and against waits
+// that are shorter than needed.
 cases! {
-    waits_long_at_the_start: 4000, Past::None, 0 => 2500, 500;
-    waits_long_with_another_contact: 6000, Past::None, 0 => 4500, 500;
-    waits_briefly_after_a_failure: 4000, Past::Failure(1000), 4900 => 1000, 1500;
-    waits_long_again_after_contact: 4000, Past::Failure(1000), 5000 => 2500, 500;
-    gives_a_slow_store_more_time: 4000, Past::LateAnswer(1000), 4000 => 1500, 1500;
-    gives_a_fast_store_less_time_again: 4000, Past::LateAnswer(1000), 8000 => 2500, 500;
+    waits_long_at_the_start: 4000, 4000, Past::None, 0 => 2500, 500;
+    waits_long_with_another_contact: 6000, 6000, Past::None, 0 => 4500, 500;
+    waits_briefly_after_a_failure: 4000, 4000, Past::Failure(1000), 4900 => 1000, 1500;
+    waits_long_again_after_contact: 4000, 4000, Past::Failure(1000), 5000 => 2500, 500;
+    gives_a_slow_store_more_time: 4000, 4000, Past::LateAnswer(1000), 4000 => 1500, 1500;
+    gives_a_fast_store_less_time_again: 4000, 4000, Past::LateAnswer(1000), 8000 => 2500, 500;
+    waits_no_longer_than_a_change_may_take: 2500, 4000, Past::None, 0 => 1000, 500;
+    notices_silence_in_time_after_a_failure: 2500, 4000, Past::Failure(1000), 4900 => 250, 1250;
+    notices_silence_in_time_at_a_slow_store: 2500, 4000, Past::LateAnswer(1000), 4000 => 250, 1250;
+    notices_silence_before_contact_is_over: 8000, 4000, Past::None, 0 => 2500, 500;
 }
 
 /// Guards against a slow store whose answers all arrive after the limit.
 #[test]
 fn a_store_that_answers_slowly_is_followed() {
-    let (latency, mut now, mut watch) = (at(900), at(0), Watch::new(at(4000)));
+    let (latency, mut now, mut watch) = (at(900), at(0), Watch::new(options(4000, 4000)));
     let (mut failures, mut answers) = (0, 0);
     while now < at(60_000) {
         let (start, limits) = (now, watch.limits(now));
@@ -80,5 +92,5 @@
 /// Guards against settings with which a watch would not wait at all, and call again and again.
 #[test]
 fn a_very_small_contact_leaves_a_wait() {
-    assert!(Watch::new(at(1000)).limits(at(0)).wait >= at(250));
+    assert!(Watch::new(options(1000, 1000)).limits(at(0)).wait >= at(250));
 }
--- a/router/src/watch.rs
+++ b/router/src/watch.rs
@@ -3,7 +3,7 @@
 use crate::router::Router;
 use almondwell_core::fleet::{Change, Fleet, Source};
 use almondwell_core::upstream::{Upstream, UpstreamId};
-use almondwell_core::watch::Watch;
+use almondwell_core::watch::{Options, Watch};
 use almondwell_platform::Error;
 use almondwell_platform::decode::Configuration;
 use almondwell_platform::store::{Changes, Cursor, Event, Item, Kind, Record, Revision};
@@ -33,6 +33,9 @@
 pub(crate) trait Followed: Record + Send {
     const KIND: Kind;
 
+    /// Time within which a change has to take effect.
+    fn apply_limit(router: &Router) -> Duration;
+
     /// Applies a response of the store to a call that started at `start`.
     fn apply(router: &Router, start: Duration, changes: Changes<Self>);
 
@@ -47,7 +50,10 @@
 pub(crate) async fn watch<F: Followed>(router: Arc<Router>) {
     let kind = F::KIND;
     let mut failures = 0;
-    let mut watch = Watch::new(router.settings.contact);
+    let mut watch = Watch::new(Options {
+        apply: F::apply_limit(&router),
+        contact: router.settings.contact,
+    });
     let mut cursor = Cursor::START;
     loop {
         let start = router.now();
@@ -114,6 +120,10 @@
 impl Followed for Configuration {
     const KIND: Kind = Kind::Configuration;
 
+    fn apply_limit(router: &Router) -> Duration {
+        router.settings.apply
+    }
+
     fn apply(router: &Router, _start: Duration, changes: Changes<Self>) {
         match changes {
             Changes::All(items) | Changes::Part(items) => items
@@ -137,6 +147,10 @@
 impl Followed for Upstream {
     const KIND: Kind = Kind::Upstreams;
 
+    fn apply_limit(router: &Router) -> Duration {
+        router.settings.drain
+    }
+
     fn apply(router: &Router, start: Duration, changes: Changes<Self>) {
         router.update_fleet(|fleet, now| match changes {
             Changes::All(items) => {
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -1531,6 +1531,8 @@
     pub drain: Duration,
     /// Time from a stop signal to the kill.
     pub grace: Duration,
+    /// Time within which a new configuration has to take effect.
+    pub apply: Duration,
     /// Time of undisturbed running after which the time limits of the platform bind.
     pub contact: Duration,
     /// Bytes of an answer's body that are read; an upstream that sends more has failed.
@@ -1584,6 +1586,7 @@
             connections: crate::parse_default("3000"),
             drain: crate::parse_default("2500ms"),
             grace: crate::parse_default("8s"),
+            apply: crate::parse_default("2500ms"),
             contact: crate::parse_default("4s"),
             max_answer: crate::parse_default("16777216"),
             exchange_loads: crate::parse_default("no"),
@@ -1681,6 +1684,11 @@
             default: "8s",
             description: "Time from a stop signal to the kill.",
         },
+        Key {
+            name: "apply",
+            default: "2500ms",
+            description: "Time within which a new configuration has to take effect.",
+        },
         Key {
             name: "contact",
             default: "4s",
@@ -1829,6 +1837,10 @@
                 self.grace = <Duration as Setting>::read(value)
                     .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
             }
+            "apply" => {
+                self.apply = <Duration as Setting>::read(value)
+                    .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
+            }
             "contact" => {
                 self.contact = <Duration as Setting>::read(value)
                     .ok_or(Unset::Expected(<Duration as Setting>::EXPECTED))?;
