Count requests that name an event where no stream can be resumed

What providers could see: a request with `Last-Event-Id` was missing in the usage of its workspace, on any route. Cause: the exemption for streams that their caller resumes was taken for every request with the header. Change: only a route whose streams can be resumed exempts such requests.

--- a/router/src/usage/begin.rs
+++ b/router/src/usage/begin.rs
@@ -7,6 +7,7 @@
 
 use super::lock;
 use crate::delivery::Delivery;
+use almondwell_core::table::Retry;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 /// State of a request that has not been sent, or was not run.
@@ -82,9 +83,16 @@
 /// The workspace that the request counts for, if it does. A stream that its caller resumes was counted by the entry
 /// that relayed its first event.
 fn counted_workspace(delivery: Delivery<'_>) -> Option<&str> {
-    let is_counted = delivery.router.usage.is_counting && delivery.request.job.last_event.is_none();
-    let workspace = delivery.admitted.workspace();
-    workspace
+    let Delivery {
+        admitted,
+        request,
+        router,
+        ..
+    } = delivery;
+    let is_resumed = admitted.route.retry == Retry::Resumable && request.job.last_event.is_some();
+    let is_counted = router.usage.is_counting && !is_resumed;
+    admitted
+        .workspace()
         .filter(|_| is_counted)
         .map(|workspace| &*workspace.name)
 }
