End the long grace of watches with the first answer in time

Cause: after a failure a watch was given the long grace for `contact`; where little time is left for a change, as since, its wait is 0.25 s then, four calls a second for 4 s. Change: an answer in time shows that the store is not slow, and ends the long grace. The wait stays 1 s at most for `contact`.

--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -51,6 +51,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Watch {
     last_failure: Option<Duration>,
+    /// Last late or missing answer without an answer in time since.
     last_late_answer: Option<Duration>,
     options: Options,
 }
@@ -67,12 +68,12 @@
     /// Limits of a watch that starts at `now`.
     pub fn limits(&self, now: Duration) -> Limits {
         let Options { apply, contact } = self.options;
-        // A connection that goes silent counts as a disturbance only in part of the cases: a single watch may be cut off.
+        // A watch may also be cut off while nothing is disturbed, so `contact` alone is no bound.
         let available = apply.min(contact).saturating_sub(RESERVE + CALL);
         let is_recent =
             |at: Option<Duration>| at.is_some_and(|at| now.saturating_sub(at) < contact);
         let has_failed = is_recent(self.last_failure);
-        let grace = if has_failed || is_recent(self.last_late_answer) {
+        let grace = if is_recent(self.last_late_answer) {
             LONG_GRACE
                 .min(available.saturating_sub(MIN_WAIT))
                 .max(GRACE)
@@ -93,13 +94,13 @@
 
     /// Records that a watch with `limits`, started at `start`, was answered at `now`.
     pub fn record_answer(&mut self, now: Duration, start: Duration, limits: Limits) {
-        if now.saturating_sub(start) > limits.wait + GRACE / 2 {
-            self.last_late_answer = Some(now);
-        }
+        let is_late = now.saturating_sub(start) > limits.wait + GRACE / 2;
+        self.last_late_answer = is_late.then_some(now);
     }
 
     /// Records that a watch failed at `now`.
     pub const fn record_failure(&mut self, now: Duration) {
         self.last_failure = Some(now);
+        self.last_late_answer = Some(now);
     }
 }
--- a/core/tests/watch.rs
+++ b/core/tests/watch.rs
@@ -69,6 +69,20 @@
     notices_silence_before_contact_is_over: 8000, 4000, Past::None, 0 => 2500, 500;
 }
 
+/// Guards against watches that call several times a second long after a failure, although the store answers in time.
+#[test]
+fn an_answer_in_time_ends_the_long_grace() {
+    let mut watch = watch(options(2500, 4000), Past::Failure(1000));
+    let limits = watch.limits(at(1000));
+    assert_eq!(limits.wait, at(250));
+    watch.record_answer(at(1250), at(1000), limits);
+    let expected = Limits {
+        grace: at(500),
+        wait: at(1000),
+    };
+    assert_eq!(watch.limits(at(1250)), expected);
+}
+
 /// Guards against a slow store whose answers all arrive after the limit.
 #[test]
 fn a_store_that_answers_slowly_is_followed() {
