Send to the only service of a route whatever its weight

Cause: weights are relative, but a single backend of weight 0 has none that it relates to: `Route::service` found no service and the route answered 503 to all, while `Route::leads_to` counted the service as one of the route's. Change: a single service is chosen whatever its weight, as the field's description says. Several whose weights add up to 0 still get nothing.

--- a/core/src/table.rs
+++ b/core/src/table.rs
@@ -105,8 +105,11 @@
     }
 
     /// The service for a request, chosen by weight with the random number `random`; `None` if the weights
-    /// add up to 0.
+    /// of several add up to 0.
     pub fn service(&self, random: u64) -> Option<&str> {
+        if let [(service, _)] = &*self.backends {
+            return Some(service);
+        }
         let total: u64 = self
             .backends
             .iter()
--- a/core/tests/table.rs
+++ b/core/tests/table.rs
@@ -72,6 +72,29 @@
     assert_eq!(table.len(), 2);
 }
 
+/// Guards against a route that sends nothing since its only service has the weight 0, relative to nothing.
+#[test]
+fn the_weight_of_a_single_service_does_not_matter() {
+    for weight in [0, 1, u32::MAX] {
+        let route = Route {
+            backends: vec![("pool".into(), weight)],
+            ..route("reply", "/", 0)
+        };
+        assert_eq!(route.service(u64::MAX), Some("pool"), "weight {weight}");
+        assert!(route.leads_to("pool"), "weight {weight}");
+    }
+}
+
+#[test]
+fn services_without_weight_get_nothing() {
+    let both = |weight| Route {
+        backends: vec![("pool".into(), 0), ("next".into(), weight)],
+        ..route("reply", "/", 0)
+    };
+    assert_eq!(both(3).service(0), Some("next"));
+    assert_eq!(both(0).service(0), None);
+}
+
 /// Guards against a table that admits everyone once its last key is revoked.
 #[test]
 fn a_workspace_without_keys_requires_a_key() {
