Apply a configuration of which parts cannot be read

Cause: one route, service or workspace that could not be decoded rejected the whole configuration, `services` or `tenants` of null too. The version before stayed in force at all entries, with the routes and keys that the new one had dropped. A route whose host and prefix are known answers 503 (`unreadable_configuration`, not run); one without them makes 404 a 503, an unreadable workspace or key makes 401 a 503. Parts are logged once a version, ten of them one by one, and counted by `almondwell_configuration_faults`.

--- a/core/src/table.rs
+++ b/core/src/table.rs
@@ -13,6 +13,12 @@
 /// Configuration of all routes, services and workspaces in one version.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
+    /// Parts of the configuration that could not be read.
+    pub faults: Faults,
+    /// Whether there are keys that could not be read, so that an unknown one may be among them.
+    pub has_unreadable_keys: bool,
+    /// Whether there are routes of which not even the place could be read, so that they may lie anywhere.
+    pub has_unreadable_routes: bool,
     /// Workspaces by API key.
     keys: BTreeMap<Box<str>, Arc<Workspace>>,
     /// Limits on requests of callers.
@@ -25,13 +31,59 @@
     /// Number of ranks among the routes.
     route_rank_count: Rank,
     /// Routes by host, sorted from the longest prefix to the shortest.
-    routes: BTreeMap<Box<str>, Vec<Arc<Route>>>,
+    routes: BTreeMap<Box<str>, Vec<Place>>,
     /// Services by name.
     pub services: BTreeMap<Box<str>, Service>,
     /// Version of this configuration.
     pub version: Version,
 }
 
+/// Parts of a configuration that could not be read.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Faults {
+    count: usize,
+    first: Vec<Box<str>>,
+}
+
+impl Faults {
+    /// Most faults that are kept; the others are counted.
+    const MAX_KEPT: usize = 10;
+
+    /// Adds a fault, which names a part and what was expected.
+    pub fn add(&mut self, fault: Box<str>) {
+        self.count += 1;
+        if self.first.len() < Self::MAX_KEPT {
+            self.first.push(fault);
+        }
+    }
+
+    /// Number of faults.
+    pub const fn count(&self) -> usize {
+        self.count
+    }
+
+    /// The first faults.
+    pub fn first(&self) -> &[Box<str>] {
+        &self.first
+    }
+}
+
+/// Prefix of a host's paths, and the route there; `None` if the rest of the route could not be read.
+#[derive(Clone, Debug)]
+struct Place {
+    prefix: Box<str>,
+    route: Option<Arc<Route>>,
+}
+
+/// Why there is no route for a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Absence {
+    /// No route matches.
+    Unknown,
+    /// The route that matches, or may match, could not be read.
+    Unreadable,
+}
+
 /// Limits on requests of callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
@@ -195,9 +247,21 @@
     /// Adds a route.
     pub fn add(&mut self, route: Route) {
         self.route_rank_count = self.route_rank_count.max(route.priority.saturating_add(1));
-        let routes = self.routes.entry(route.host.clone()).or_default();
-        let index = routes.partition_point(|other| other.prefix.len() >= route.prefix.len());
-        routes.insert(index, Arc::new(route));
+        let (host, prefix) = (route.host.clone(), route.prefix.clone());
+        let route = Some(Arc::new(route));
+        self.add_place(host, Place { prefix, route });
+    }
+
+    /// Adds the place of a route of which the rest could not be read.
+    pub fn add_unreadable(&mut self, host: Box<str>, prefix: Box<str>) {
+        let route = None;
+        self.add_place(host, Place { prefix, route });
+    }
+
+    fn add_place(&mut self, host: Box<str>, place: Place) {
+        let places = self.routes.entry(host).or_default();
+        let index = places.partition_point(|other| other.prefix.len() >= place.prefix.len());
+        places.insert(index, place);
     }
 
     /// Adds a workspace with its API keys.
@@ -235,11 +299,26 @@
     }
 
     /// The route of `host` with the longest matching prefix of `path`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is none that could be read.
+    pub fn find(&self, host: &str, path: &str) -> Result<&Arc<Route>, Absence> {
+        let places = self.routes.get(host);
+        let place = places
+            .into_iter()
+            .flatten()
+            .find(|place| path.starts_with(&*place.prefix));
+        match place {
+            Some(place) => place.route.as_ref().ok_or(Absence::Unreadable),
+            None if self.has_unreadable_routes => Err(Absence::Unreadable),
+            None => Err(Absence::Unknown),
+        }
+    }
+
+    /// As [`Self::find`]; `None` if there is none that could be read.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        self.routes
-            .get(host)?
-            .iter()
-            .find(|route| path.starts_with(&*route.prefix))
+        self.find(host, path).ok()
     }
 
     /// Rank of a request from `workspace` on `route`: first by workspace, then by route. Requests without a
@@ -252,13 +331,14 @@
             .saturating_add(route.priority)
     }
 
-    /// Number of routes.
+    /// Number of routes that could be read.
     pub fn len(&self) -> usize {
-        self.routes.values().map(Vec::len).sum()
+        let places = self.routes.values().flatten();
+        places.filter(|place| place.route.is_some()).count()
     }
 
-    /// Whether there are no routes.
+    /// Whether there are no routes that could be read.
     pub fn is_empty(&self) -> bool {
-        self.routes.is_empty()
+        self.len() == 0
     }
 }
--- a/core/tests/table.rs
+++ b/core/tests/table.rs
@@ -1,6 +1,6 @@
 //! Routes and ranks of the routing table.
 
-use almondwell_core::table::{Retry, Route, Table, Workspace};
+use almondwell_core::table::{Absence, Retry, Route, Table, Workspace};
 use std::time::Duration;
 
 fn route(name: &str, prefix: &str, priority: u8) -> Route {
@@ -95,6 +95,20 @@
     assert_eq!(both(0).service(0), None);
 }
 
+/// Guards against a shorter prefix that answers for a route that could not be read.
+#[test]
+fn a_place_without_a_route_counts_by_its_prefix() {
+    let mut table = table();
+    table.add_unreadable("a.example".into(), "/review/old/".into());
+    table.add_unreadable("b.example".into(), "/".into());
+    let find = |host, path| table.find(host, path).map(|route| &*route.name);
+    assert_eq!(find("a.example", "/review/old/1"), Err(Absence::Unreadable));
+    assert_eq!(find("a.example", "/review/1"), Ok("review"));
+    assert_eq!(find("b.example", "/1"), Err(Absence::Unreadable));
+    assert_eq!(find("c.example", "/1"), Err(Absence::Unknown));
+    assert_eq!(table.len(), 2);
+}
+
 /// Guards against a table that admits everyone once its last key is revoked.
 #[test]
 fn a_workspace_without_keys_requires_a_key() {
--- a/router/src/dispatch.rs
+++ b/router/src/dispatch.rs
@@ -10,7 +10,7 @@
 use crate::router::{Router, milliseconds};
 use crate::{stopping, usage};
 use almondwell_core::hash;
-use almondwell_core::table::{Credential, Rank, Route, Table, Version, Workspace};
+use almondwell_core::table::{Absence, Credential, Rank, Route, Table, Version, Workspace};
 use almondwell_daemon::disconnected;
 use almondwell_schema::{Fingerprint, Verdict};
 use async_std::net::TcpStream;
@@ -300,14 +300,22 @@
             Refusal::retryable(Reason::Stale, retry_after())
         }
     };
+    let unreadable = || Refusal::retryable(Reason::Unreadable, retry_after());
     let route = table
-        .route(&request.host, request.path())
-        .ok_or_else(|| unknown(404, Reason::UnknownRoute))?;
+        .find(&request.host, request.path())
+        .map_err(|absence| match absence {
+            Absence::Unknown => unknown(404, Reason::UnknownRoute),
+            Absence::Unreadable => unreadable(),
+        })?;
     if request.job.attempt.is_none() {
         return Err(Refusal::invalid(400, Reason::Malformed));
     }
     if !table.is_admitted(route, &basis.credential) {
-        return Err(unknown(401, Reason::UnknownKey));
+        return Err(if table.has_unreadable_keys {
+            unreadable()
+        } else {
+            unknown(401, Reason::UnknownKey)
+        });
     }
     Ok((table, route))
 }
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -62,6 +62,7 @@
     pub(crate) retries: Counter,
     pub(crate) stream_writes: Counter,
     pub(crate) streams_unrecorded: Counter,
+    pub(crate) table_faults: Gauge,
     pub(crate) table_version: Gauge,
     pub(crate) duration: Histogram,
     pub(crate) usage_clock_error: Gauge,
@@ -90,6 +91,7 @@
             retries: Counter::default(),
             stream_writes: Counter::default(),
             streams_unrecorded: Counter::default(),
+            table_faults: Gauge::default(),
             table_version: Gauge::default(),
             duration: Histogram::new(BUCKETS),
             usage_clock_error: Gauge::default(),
@@ -154,6 +156,11 @@
             self.resumed.clone(),
         );
         registry.register("retries", "Sends after the first", self.retries.clone());
+        registry.register(
+            "configuration_faults",
+            "Parts of the configuration in force that could not be read",
+            self.table_faults.clone(),
+        );
         registry.register(
             "configuration_version",
             "Version of the configuration in force",
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -194,9 +194,27 @@
         if !is_kept {
             let version = i64::try_from(table.version).unwrap_or(i64::MAX);
             self.metrics.table_version.set(version);
+            self.record_faults(&table);
         }
     }
 
+    /// Logs which parts of the active configuration could not be read.
+    fn record_faults(&self, table: &Table) {
+        let (count, first) = (table.faults.count(), table.faults.first());
+        for fault in first {
+            spdlog::error!("part of the configuration ignored", kv: {
+                version = table.version, fault = fault.as_ref()
+            });
+        }
+        if count > first.len() {
+            spdlog::error!("further parts of the configuration ignored", kv: {
+                version = table.version, count = count - first.len()
+            });
+        }
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.metrics.table_faults.set(count);
+    }
+
     /// The active configuration with its JSON, if one has been read.
     pub(crate) fn active(&self) -> Option<Arc<Configuration>> {
         self.active.load()
