Do not call the configuration current while a newer one is rejected

Cause: `is_current` says that the store's watch is answered, whatever came of the answer. With the newest version rejected, routes and keys that it may have got 404 and 401, which callers don't repeat, and neither `is_current` in the log nor a metric showed it. Change: `Active` keeps the newest rejected version, from the store or another entry; while it is newer than the active one, or can't be read, `Router::is_current` is false, so that unknown routes and keys get 503 as while the store is unreachable. Fetches still go by the watch alone (`follows_store`). `almondwell_configuration_rejected` is 1 meanwhile; the log line names source and versions. An object of another name than `main` has no effect.

--- a/router/src/fetches.rs
+++ b/router/src/fetches.rs
@@ -8,6 +8,7 @@
 use almondwell_core::fleet::Source;
 use almondwell_core::progress::CHECK_PERIOD;
 use almondwell_core::upstream::{State, Upstream};
+use almondwell_platform::decode::Rejection;
 use almondwell_platform::{decode, limit_send_buffer, set_up_socket};
 use almondwell_schema::{Ask, Frame, Held, Registration};
 use almondwell_wire::{Connection, Error, Seal, Turn};
@@ -70,7 +71,7 @@
 fn next(router: &Router, fetches: &mut Fetches) -> Next {
     let (now, own) = (router.now(), contents(router));
     let reach = Reach {
-        configuration: router.is_current(),
+        configuration: router.follows_store(),
         upstreams: router.is_list_current(),
     };
     let peers = lock_peers(router);
@@ -148,11 +149,14 @@
     if !held.table.is_empty() {
         match decode::parse_table(&held.table) {
             Ok(table) => router.adopt(table, held.table, "entry", None),
-            Err(fault) => {
+            Err(rejection) => {
                 is_valid = false;
-                spdlog::error!("invalid configuration ignored", kv: {
-                    from = from.to_string(), fault = fault.as_ref()
-                });
+                let version = rejection.version.or(Some(held.version));
+                let rejection = Rejection {
+                    version,
+                    ..rejection
+                };
+                router.reject(&rejection, &format!("entry {from}"), None);
             }
         }
     }
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -63,6 +63,7 @@
     pub(crate) stream_writes: Counter,
     pub(crate) streams_unrecorded: Counter,
     pub(crate) table_faults: Gauge,
+    pub(crate) table_rejected: Gauge,
     pub(crate) table_version: Gauge,
     pub(crate) duration: Histogram,
     pub(crate) usage_clock_error: Gauge,
@@ -92,6 +93,7 @@
             stream_writes: Counter::default(),
             streams_unrecorded: Counter::default(),
             table_faults: Gauge::default(),
+            table_rejected: Gauge::default(),
             table_version: Gauge::default(),
             duration: Histogram::new(BUCKETS),
             usage_clock_error: Gauge::default(),
@@ -161,6 +163,11 @@
             "Parts of the configuration in force that could not be read",
             self.table_faults.clone(),
         );
+        registry.register(
+            "configuration_rejected",
+            "Whether a newer configuration than the one in force was rejected, 1 or 0",
+            self.table_rejected.clone(),
+        );
         registry.register(
             "configuration_version",
             "Version of the configuration in force",
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -19,6 +19,7 @@
 use almondwell_core::table::Table;
 use almondwell_core::upstream::{Upstream, UpstreamId};
 use almondwell_daemon::{BootClock, Clock};
+use almondwell_platform::decode::Rejection;
 use almondwell_platform::store::Revision;
 use almondwell_platform::{Objects, Store};
 use almondwell_schema::{Digest, RouterSettings};
@@ -142,8 +143,13 @@
         self.active.load().map(|active| active.table.clone())
     }
 
-    /// Whether the configuration is known to be the latest.
+    /// Whether the active configuration is known to be the latest.
     pub(crate) fn is_current(&self) -> bool {
+        self.follows_store() && !self.active.is_behind()
+    }
+
+    /// Whether the configuration has been read since the store was last unreachable, also if it was rejected.
+    pub(crate) fn follows_store(&self) -> bool {
         self.is_current.load(Ordering::Acquire)
     }
 
@@ -195,9 +201,32 @@
             let version = i64::try_from(table.version).unwrap_or(i64::MAX);
             self.metrics.table_version.set(version);
             self.record_faults(&table);
+            self.count_rejection();
         }
     }
 
+    /// Records that a configuration was rejected, which keeps the one before active. `source` and `revision` are logged as in
+    /// [`Self::adopt`].
+    pub(crate) fn reject(&self, rejection: &Rejection, source: &str, revision: Option<Revision>) {
+        spdlog::error!("invalid configuration ignored", kv: {
+            source, revision = revision.unwrap_or(0), version = rejection.version.unwrap_or(0),
+            held = self.table().map_or(0, |table| table.version), fault = rejection.fault.as_ref()
+        });
+        self.active.reject(rejection.version);
+        self.count_rejection();
+    }
+
+    /// Records that the version of the object in the store could be read.
+    pub(crate) fn record_versioned(&self) {
+        self.active.record_versioned();
+        self.count_rejection();
+    }
+
+    fn count_rejection(&self) {
+        let is_behind = self.active.is_behind();
+        self.metrics.table_rejected.set(is_behind.into());
+    }
+
     /// Logs which parts of the active configuration could not be read.
     fn record_faults(&self, table: &Table) {
         let (count, first) = (table.faults.count(), table.faults.first());
--- a/router/src/watch.rs
+++ b/router/src/watch.rs
@@ -5,7 +5,7 @@
 use almondwell_core::upstream::{Upstream, UpstreamId};
 use almondwell_core::watch::Watch;
 use almondwell_platform::Error;
-use almondwell_platform::decode::Configuration;
+use almondwell_platform::decode::{CONFIGURATION, Configuration, Rejection};
 use almondwell_platform::store::{Changes, Cursor, Event, Item, Kind, Record, Revision};
 use async_std::task;
 use rand::Rng;
@@ -251,13 +251,33 @@
 }
 
 fn apply_configuration(router: &Router, item: Item<Configuration>) {
-    match item.record {
-        Ok(Configuration { raw, table }) => {
-            router.adopt(table, raw, "store", Some(item.revision));
+    let revision = Some(item.revision);
+    let Configuration { raw, table } = match item.record {
+        Ok(configuration) => configuration,
+        // The object itself, of which the store's part cannot be read.
+        Err(fault) if *item.name == *CONFIGURATION => {
+            let version = None;
+            router.reject(&Rejection { fault, version }, "store", revision);
+            return;
+        }
+        Err(fault) => {
+            spdlog::error!("invalid configuration ignored", kv: {
+                object = item.name.as_ref(), revision = item.revision, fault = fault.as_ref()
+            });
+            return;
+        }
+    };
+    match table {
+        Ok(table) => {
+            router.adopt(table, raw, "store", revision);
+            router.record_versioned();
+        }
+        Err(rejection) => {
+            if rejection.version.is_some() {
+                router.record_versioned();
+            }
+            router.reject(&rejection, "store", revision);
         }
-        Err(fault) => spdlog::error!("invalid configuration ignored", kv: {
-            object = item.name.as_ref(), revision = item.revision, fault = fault.as_ref()
-        }),
     }
 }
 
