--- a/core/tests/table.rs
+++ b/core/tests/table.rs
@@ -1,6 +1,6 @@
 //! Routes and ranks of the routing table.
 
-use almondwell_core::table::{Retry, Route, Table, Workspace};
+use almondwell_core::table::{Absence, Retry, Route, Table, Workspace};
 use std::time::Duration;
 
 fn route(name: &str, prefix: &str, priority: u8) -> Route {
@@ -72,6 +72,43 @@
     assert_eq!(table.len(), 2);
 }
 
+/// Guards against a route that sends nothing since its only service has the weight 0, relative to nothing.
+#[test]
+fn the_weight_of_a_single_service_does_not_matter() {
+    for weight in [0, 1, u32::MAX] {
+        let route = Route {
+            backends: vec![("pool".into(), weight)],
+            ..route("reply", "/", 0)
+        };
+        assert_eq!(route.service(u64::MAX), Some("pool"), "weight {weight}");
+        assert!(route.leads_to("pool"), "weight {weight}");
+    }
+}
+
+#[test]
+fn services_without_weight_get_nothing() {
+    let both = |weight| Route {
+        backends: vec![("pool".into(), 0), ("next".into(), weight)],
+        ..route("reply", "/", 0)
+    };
+    assert_eq!(both(3).service(0), Some("next"));
+    assert_eq!(both(0).service(0), None);
+}
+
+/// Guards against a shorter prefix that answers for a route that could not be read.
+#[test]
+fn a_place_without_a_route_counts_by_its_prefix() {
+    let mut table = table();
+    table.add_unreadable("a.example".into(), "/review/old/".into());
+    table.add_unreadable("b.example".into(), "/".into());
+    let find = |host, path| table.find(host, path).map(|route| &*route.name);
+    assert_eq!(find("a.example", "/review/old/1"), Err(Absence::Unreadable));
+    assert_eq!(find("a.example", "/review/1"), Ok("review"));
+    assert_eq!(find("b.example", "/1"), Err(Absence::Unreadable));
+    assert_eq!(find("c.example", "/1"), Err(Absence::Unknown));
+    assert_eq!(table.len(), 2);
+}
+
 /// Guards against a table that admits everyone once its last key is revoked.
 #[test]
 fn a_workspace_without_keys_requires_a_key() {
