Read registrations before a stream without a record goes on

Callers saw: a stream that began at a new version went on at the old one, at a router that had no record of it, had not learned of the new version, and read a list of versions without it. Cause: a stream without a record goes on at the single version that the list in the store and the router's own registrations name. Upstreams get streams once they are registered, and are listed by a later write, which may fail or be late; a router's registrations may be seconds old. Change: with the list, the router reads the changes of registrations since those that it follows, and goes on only if they name no other version. One read for all requests that wait for the list, beside that of the list.

--- a/core/src/versions.rs
+++ b/core/src/versions.rs
@@ -16,6 +16,8 @@
 pub struct Versions {
     /// Versions on the list, with the time at which this entry last knew an upstream of each.
     listed: BTreeMap<Origin, Duration>,
+    /// Versions of registrations that were read together with the list, and that this entry may not follow yet.
+    unfollowed: BTreeSet<Origin>,
 }
 
 impl Versions {
@@ -31,6 +33,11 @@
             .collect();
     }
 
+    /// Replaces the versions of registrations that this entry may not follow yet.
+    pub fn set_unfollowed(&mut self, unfollowed: BTreeSet<Origin>) {
+        self.unfollowed = unfollowed;
+    }
+
     /// Records the versions of the registered upstreams; returns whether the stored list has to change.
     pub fn observe(&mut self, now: Duration, registered: &BTreeSet<Origin>) -> bool {
         for (origin, seen_at) in &mut self.listed {
@@ -70,8 +77,8 @@
         let (Some(only), None) = (listed.next(), listed.next()) else {
             return None;
         };
+        let registered = registered.iter().chain(&self.unfollowed);
         registered
-            .iter()
             .filter(is_of)
             .all(|origin| origin == only)
             .then_some(&only.version)
--- a/core/tests/versions.rs
+++ b/core/tests/versions.rs
@@ -38,6 +38,18 @@
     an_upstream_that_is_away: [("pool", "v1")], [] => Some("v1");
 }
 
+/// Guards against a guess at an entry that learns late of a version that is not listed yet.
+#[test]
+fn a_version_that_this_entry_does_not_follow_yet() {
+    let mut versions = Versions::default();
+    let known = origins(&[("pool", "v1")]);
+    versions.replace(Duration::ZERO, known.clone());
+    versions.set_unfollowed(origins(&[("desk", "v2"), ("pool", "v1")]));
+    assert_eq!(versions.sole("pool", &known), Some("v1"));
+    versions.set_unfollowed(origins(&[("pool", "v2")]));
+    assert_eq!(versions.sole("pool", &known), None);
+}
+
 #[test]
 fn a_new_version_is_due_to_be_listed() {
     let mut versions = Versions::default();
--- a/router/src/version_objects.rs
+++ b/router/src/version_objects.rs
@@ -4,9 +4,13 @@
 use crate::router::Router;
 use crate::stream_objects::{CONFLICT_DELAY, FOLDER, next_read, retry_delay};
 use almondwell_core::streams::Origin;
+use almondwell_core::upstream::Upstream;
+use almondwell_core::watch::Limits;
+use almondwell_platform::store::{Changes, Cursor, Event, Kind};
 use almondwell_platform::{Error, Expect, Written};
 use almondwell_schema::{StreamOrigin, StreamVersions, Version};
 use async_std::task;
+use futures_lite::future::try_zip;
 use rand::Rng;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -14,6 +18,11 @@
 
 /// Interval between checks whether a version has been unused for long.
 const PERIOD: Duration = Duration::from_mins(1);
+/// Limits of a read of the changes so far.
+const NO_WAIT: Limits = Limits {
+    grace: Duration::from_secs(1),
+    wait: Duration::ZERO,
+};
 /// Share of the reads of entries that learn of a new version at the same moment: one read a millisecond.
 const SPREAD: Duration = Duration::from_millis(1);
 
@@ -21,12 +30,14 @@
     format!("{FOLDER}/versions")
 }
 
-/// Reads the versions in use, unless that has been done since `since`.
+/// Reads the versions in use, unless that has been done since `since`: those on the list, and those of registrations, since an
+/// upstream may get streams before its version is on the list.
 pub(crate) async fn refresh(router: &Router, since: Duration) -> Result<(), Error> {
     let mut read_at = router.streams.reads.versions.lock().await;
     if read_at.is_none_or(|at| at < since) {
         let start = next_read(router, *read_at).await;
-        let stored = read(router).await?;
+        let (stored, unfollowed) = try_zip(read(router), read_unfollowed(router)).await?;
+        router.streams.lock_versions().set_unfollowed(unfollowed);
         *read_at = Some(start);
         if is_due(router) || !stored.is_readable {
             router.streams.version_checks.request();
@@ -92,6 +103,28 @@
     }
 }
 
+/// Reads the versions of the registrations that this entry does not follow yet.
+async fn read_unfollowed(router: &Router) -> Result<BTreeSet<Origin>, Error> {
+    let mut cursor = match router.revision() {
+        0 => Cursor::START,
+        revision => Cursor::after(revision),
+    };
+    let changes = router
+        .store
+        .changes::<Upstream>(Kind::Upstreams, &mut cursor, NO_WAIT);
+    let items = match changes.await? {
+        Changes::All(items) | Changes::Part(items) => items,
+        Changes::Since(events) => events.into_iter().filter_map(Event::into_item).collect(),
+    };
+    let upstreams = items.into_iter().filter_map(|item| item.record.ok());
+    let origins = upstreams.map(
+        |Upstream {
+             service, version, ..
+         }| Origin { service, version },
+    );
+    Ok(origins.collect())
+}
+
 fn log(listed: &BTreeSet<Origin>) {
     let listed: Vec<_> = listed
         .iter()
