Ask an engine for its start time before a resumable stream begins

Callers saw: streams that began at an engine of a new version went on at the old one, at a router that had been cut off from the store and then lost the others. Cause: the record of a stream named the version of the engine's registration. One that starts anew under its identifier and address serves before its registration arrives, and only requests that continue a stream asked it which lifetime answers. The entry that relays the stream and the keepers corrected the record with the registration; a keeper that does not learn of it, and no longer of the others, goes by the wrong record. Change: on routes with resumption an engine is asked on each connection before the first request there, and the answer holds for the connection. A mismatch is handled as before: the engine gets no request until it registers. An engine that does not answer counts as failed once.

--- a/router/src/connection.rs
+++ b/router/src/connection.rs
@@ -97,6 +97,8 @@
     pub(crate) buffer: Buffer,
     idle_since: Instant,
     idle_timeout: Duration,
+    /// Whether it is known to lead to the registered lifetime of the upstream.
+    pub(crate) is_confirmed: bool,
 }
 
 impl Connection {
@@ -113,6 +115,7 @@
             buffer: Buffer::new(stream),
             idle_since: Instant::now(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            is_confirmed: false,
         })
     }
 
--- a/router/src/delivery.rs
+++ b/router/src/delivery.rs
@@ -167,11 +167,11 @@
 ) -> Option<(Connection, bool)> {
     let is_retryable = delivery.admitted.route.retry != Retry::Never;
     match backend.connection(is_retryable, remaining(delivery)).await {
-        // Only the registered version of the engine may continue the stream.
-        Ok((connection, is_reused))
-            if delivery.admitted.is_engine && history.version(delivery).is_some() =>
-        {
+        Ok((connection, is_reused)) if is_bound(delivery, history) => {
             let confirmed = lifetime::confirm(connection, backend).await;
+            if confirmed.is_none() {
+                backend.record_failure(delivery.router.now());
+            }
             confirmed.map(|connection| (connection, is_reused))
         }
         Ok(connection) => Some(connection),
@@ -187,6 +187,13 @@
     }
 }
 
+/// Whether only the registered lifetime of an engine may serve the request: its version decides where the stream goes on.
+fn is_bound(delivery: Delivery<'_>, history: &History) -> bool {
+    let admitted = delivery.admitted;
+    let is_resumable = admitted.route.retry == Retry::Resumable;
+    admitted.is_engine && (is_resumable || history.version(delivery).is_some())
+}
+
 /// Adds the request to an engine's backlog, with the number of prompt tokens that the engine has to prefill.
 fn enqueue(delivery: Delivery<'_>, backend: &Arc<Backend>, has_parts: bool) -> Queued {
     let job = &delivery.request.job;
--- a/router/src/lifetime.rs
+++ b/router/src/lifetime.rs
@@ -19,7 +19,7 @@
 /// The connection, if it leads to the registered lifetime of `backend`, or the engine does not tell which one it is.
 pub(crate) async fn confirm(mut connection: Connection, backend: &Backend) -> Option<Connection> {
     let upstream = &backend.upstream;
-    let Some(registered) = upstream.started_ms else {
+    let Some(registered) = upstream.started_ms.filter(|_| !connection.is_confirmed) else {
         return Some(connection);
     };
     let (head, started_ms) = timeout(TIMEOUT, ask(&mut connection, upstream))
@@ -33,6 +33,7 @@
         backend.mark_replaced();
         return None;
     }
+    connection.is_confirmed = true;
     connection.into_idle(&head)
 }
 
