Follow a store that comes back from an older copy

Cause: revisions were kept and compared without the era in which the store gave them out. Change: cursors, the list of upstreams, offers and fetches between entries hold positions of era and revision. A new era in any answer of the store, on any connection, ends all watches of the process and leads to lists; answers of earlier eras are errors. Between entries a position travels packed in the field of the revision, equal to it in era 0, so that messages of earlier builds decode as before. A log event and a metric show new eras.

--- a/core/src/fetches.rs
+++ b/core/src/fetches.rs
@@ -2,6 +2,7 @@
 //!
 //! One fetch runs at a time: several of a large configuration leave each other too little of a small link.
 
+use crate::position::Position;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -37,8 +38,8 @@
 pub struct Contents {
     /// Version of the configuration; 0 for none.
     pub version: u64,
-    /// Revision that the list of upstreams reflects.
-    pub revision: u64,
+    /// Position in the store that the list of upstreams reflects.
+    pub position: Position,
 }
 
 /// What an entry learns from the store itself at present.
@@ -117,7 +118,9 @@
             self.newer_since = None;
             return Next::Idle;
         }
-        let has_newer_upstreams = newer.iter().any(|(newer, ..)| newer.revision > 0);
+        let has_newer_upstreams = newer
+            .iter()
+            .any(|(newer, ..)| newer.position > Position::default());
         if reach.configuration && !has_newer_upstreams {
             let lead_end = self.newer_since(now, own.version) + self.options.store_lead;
             if now < lead_end {
@@ -151,13 +154,13 @@
     /// The parts of `offer` that are newer than this entry's; 0 for the others.
     fn newer_part(&self, own: Contents, reach: Reach, offer: Contents) -> Contents {
         let is_newer = offer.version > own.version && offer.version != self.invalid_version;
-        let has_newer_upstreams = !reach.upstreams && offer.revision > own.revision;
+        let has_newer_upstreams = !reach.upstreams && offer.position > own.position;
         Contents {
             version: if is_newer { offer.version } else { 0 },
-            revision: if has_newer_upstreams {
-                offer.revision
+            position: if has_newer_upstreams {
+                offer.position
             } else {
-                0
+                Position::default()
             },
         }
     }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -25,6 +25,7 @@
 mod pace;
 pub mod peers;
 pub mod placement;
+pub mod position;
 pub mod precedence;
 pub mod progress;
 pub mod quantile;
--- a/core/tests/fetches.rs
+++ b/core/tests/fetches.rs
@@ -1,13 +1,16 @@
 //! Choice of the entry to fetch from, and of the time.
 
 use almondwell_core::fetches::{Contents, Fetches, Next, Options, Outcome, Reach};
+use almondwell_core::position::Position;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 const OWN: Contents = Contents {
     version: 7,
-    revision: 70,
+    position: Position::unpack(70),
 };
+/// Position with a lower revision than that of `OWN`, in a later era.
+const LATER_ERA: u64 = (1 << 40) + 5;
 /// An offer of the same contents.
 const SAME: (u64, u64) = (7, 70);
 
@@ -25,7 +28,7 @@
         .iter()
         .map(|(version, revision)| Contents {
             version: *version,
-            revision: *revision,
+            position: Position::unpack(*revision),
         })
         .enumerate();
     contents
@@ -77,6 +80,7 @@
 cases! {
     asks_nobody_when_nothing_is_newer: NOTHING, 0, false, [SAME, (6, 60)] => Decision::Idle;
     asks_for_the_newest_version: NOTHING, 0, false, [(8, 80), (10, 90), (9, 100)] => Decision::From(1);
+    asks_for_upstreams_of_a_later_era: NOTHING, 0, false, [SAME, (7, LATER_ERA), (7, 90)] => Decision::From(1);
     asks_for_newer_upstreams_without_the_store: NOTHING, 0, false, [SAME, (7, 71)] => Decision::From(1);
     leaves_upstreams_to_the_store: NOTHING, 0, true, [SAME, (7, 71)] => Decision::Idle;
     leaves_a_new_version_to_the_store_at_first: NOTHING, 500, true, [SAME, (8, 80)] => Decision::At(1500);
@@ -158,7 +162,7 @@
     let mut fetches = Fetches::default();
     let offer = |version| Contents {
         version,
-        revision: 90,
+        position: Position::unpack(90),
     };
     fetches.reject(9);
     assert_eq!(fetches.known_version(OWN, offer(9)), 9);
--- a/router/src/fetches.rs
+++ b/router/src/fetches.rs
@@ -6,6 +6,7 @@
 use crate::slots::Slots;
 use almondwell_core::fetches::{Contents, Fetches, Next, Options, Outcome, Reach};
 use almondwell_core::fleet::Source;
+use almondwell_core::position::Position;
 use almondwell_core::progress::CHECK_PERIOD;
 use almondwell_core::upstream::{State, Upstream};
 use almondwell_platform::{decode, limit_send_buffer, set_up_socket};
@@ -75,8 +76,9 @@
     };
     let peers = lock_peers(router);
     let offers = peers.contents(now).map(|(from, digest)| {
-        let (version, revision) = (digest.version, digest.revision);
-        (from, Contents { version, revision })
+        let position = Position::unpack(digest.revision);
+        let version = digest.version;
+        (from, Contents { version, position })
     });
     fetches.next(now, own, reach, offers, |below| {
         rand::rng().random_range(0..below)
@@ -86,7 +88,7 @@
 fn contents(router: &Router) -> Contents {
     Contents {
         version: router.table().map_or(0, |table| table.version),
-        revision: router.revision(),
+        position: router.position(),
     }
 }
 
@@ -121,7 +123,7 @@
     let own = contents(router);
     // The entry may have restarted since its digest, and would be asked for the same again.
     let is_behind =
-        own.version < offer.version || !router.is_list_current() && own.revision < offer.revision;
+        own.version < offer.version || !router.is_list_current() && own.position < offer.position;
     if is_behind {
         Outcome::Failed
     } else {
@@ -156,8 +158,11 @@
             }
         }
     }
-    if !router.is_list_current() && held.revision > router.revision() {
-        router.set_revision(held.revision);
+    let position = Position::unpack(held.revision);
+    if !router.is_list_current() && position > router.position() {
+        // Late answers of the store in an earlier era must not bring its list back.
+        router.store.record_era(position.era);
+        router.set_position(position);
         let upstreams = held.upstreams.into_iter().map(upstream).collect();
         router.update_fleet(|fleet, _| fleet.replace(start, Source::Entry, upstreams));
     }
@@ -221,7 +226,7 @@
     let held = Held {
         version,
         table: newer.map_or_else(Vec::new, |active| active.raw.clone()),
-        revision: router.revision(),
+        revision: router.position().pack(),
         upstreams: router.upstreams().into_iter().map(registration).collect(),
     };
     connection
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -60,6 +60,7 @@
     pub(crate) loads_merged: Counter,
     pub(crate) resumed: Counter,
     pub(crate) retries: Counter,
+    pub(crate) store_eras: Counter,
     pub(crate) stream_writes: Counter,
     pub(crate) streams_unrecorded: Counter,
     pub(crate) table_version: Gauge,
@@ -88,6 +89,7 @@
             loads_merged: Counter::default(),
             resumed: Counter::default(),
             retries: Counter::default(),
+            store_eras: Counter::default(),
             stream_writes: Counter::default(),
             streams_unrecorded: Counter::default(),
             table_version: Gauge::default(),
@@ -185,6 +187,11 @@
             "Requests that continue a stream, by how its origin was found",
             self.continuations.clone(),
         );
+        registry.register(
+            "store_eras",
+            "New eras of the store, which it begins when it comes back from an older copy",
+            self.store_eras.clone(),
+        );
         registry.register(
             "stream_writes",
             "Writes of the origins of streams to the store",
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -7,6 +7,7 @@
 use crate::streams;
 use crate::usage;
 use almondwell_core::causes::{Cause, is_known_widely};
+use almondwell_core::position::Position;
 use almondwell_schema::{Datagram, Digest, Suspect, SuspectPart};
 use async_std::task;
 use rand::Rng;
@@ -152,7 +153,7 @@
         entry: router.settings.id.clone(),
         control: router.settings.control,
         version: router.table().map_or(0, |table| table.version),
-        revision: router.revision(),
+        revision: router.position().pack(),
         shares: router.services.shares(now),
         peers: lock_peers(router).hints(|below| rand::rng().random_range(0..below)),
         suspects: sample(crash::fatal_requests(router)).collect(),
@@ -217,7 +218,7 @@
     if is_first || version < own_version {
         send(router, &self::digest(router).into(), from).await;
     }
-    if version > own_version || revision > router.revision() {
+    if version > own_version || Position::unpack(revision) > router.position() {
         router.fetches.request();
     }
 }
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -16,6 +16,7 @@
 use almondwell_core::fleet::{self, Change, Fleet};
 use almondwell_core::peers::{self, Peers};
 use almondwell_core::placement;
+use almondwell_core::position::Position;
 use almondwell_core::table::Table;
 use almondwell_core::upstream::{Upstream, UpstreamId};
 use almondwell_daemon::{BootClock, Clock};
@@ -74,8 +75,8 @@
     pub(crate) socket: Socket,
     pub(crate) store: Store,
     pub(crate) streams: Streams,
-    /// Store revision that the list of upstreams reflects.
-    revision: AtomicU64,
+    /// Position in the store that the list of upstreams reflects.
+    position: Mutex<Position>,
     pub(crate) usage: Usage,
 }
 
@@ -94,6 +95,7 @@
             .map(|(zone, region)| (zone.trim().into(), region.trim().into()))
             .collect();
         let (clock, metrics) = (Clock::start(), Metrics::default());
+        let store = Store::new(settings.store);
         Self {
             active: Active::default(),
             confirmed_ms: AtomicU64::new(0),
@@ -115,7 +117,7 @@
             is_current: AtomicBool::new(false),
             is_list_current: AtomicBool::new(false),
             metrics,
-            objects: Objects::new(settings.store),
+            objects: Objects::beside(&store),
             peers: Mutex::new(Peers::new(
                 peers::Options::default(),
                 settings.control,
@@ -125,11 +127,11 @@
             ready: ArcSwap::default(),
             regions,
             socket,
-            store: Store::new(settings.store),
+            store,
             streams: Streams::new(&settings),
             usage: Usage::new(&settings),
             settings,
-            revision: AtomicU64::new(0),
+            position: Mutex::default(),
         }
     }
 
@@ -202,19 +204,27 @@
         self.active.load()
     }
 
-    /// Store revision that the list of upstreams reflects.
-    pub(crate) fn revision(&self) -> u64 {
-        self.revision.load(Ordering::Acquire)
+    /// Position in the store that the list of upstreams reflects.
+    pub(crate) fn position(&self) -> Position {
+        *self.lock_position()
     }
 
-    pub(crate) fn set_revision(&self, revision: u64) {
-        self.revision.fetch_max(revision, Ordering::AcqRel);
+    pub(crate) fn set_position(&self, position: Position) {
+        let mut known = self.lock_position();
+        *known = position.max(*known);
+    }
+
+    fn lock_position(&self) -> MutexGuard<'_, Position> {
+        self.position.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// All registered upstreams, also those that accept no requests.
     pub(crate) fn upstreams(&self) -> Vec<Upstream> {
-        let fleet = self.fleet.lock().unwrap_or_else(PoisonError::into_inner);
-        fleet.iter().cloned().collect()
+        self.lock_fleet().iter().cloned().collect()
+    }
+
+    fn lock_fleet(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Upstreams that accept requests, by service.
@@ -233,7 +243,7 @@
         C: FnOnce(&mut Fleet, Duration) -> Vec<(UpstreamId, Change)>,
     {
         let now = self.now();
-        let mut fleet = self.fleet.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut fleet = self.lock_fleet();
         let mut changes = change(&mut fleet, now);
         changes.retain(|(_, change)| *change != Change::None);
         if changes.is_empty() {
@@ -252,9 +262,9 @@
         self.is_list_current.load(Ordering::Acquire)
     }
 
-    /// Records that the list of upstreams reflects `revision` of the store.
-    pub(crate) fn record_list(&self, revision: u64) {
-        self.set_revision(revision);
+    /// Records that the list of upstreams reflects `position` of the store.
+    pub(crate) fn record_list(&self, position: Position) {
+        self.set_position(position);
         self.is_list_current.store(true, Ordering::Release);
     }
 
@@ -262,10 +272,7 @@
     pub(crate) fn record_outage(&self) {
         self.is_list_current.store(false, Ordering::Release);
         let now = self.now();
-        self.fleet
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .record_outage(now);
+        self.lock_fleet().record_outage(now);
     }
 
     fn publish(&self, fleet: &Fleet) {
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -66,6 +66,7 @@
     });
     spawn(&router, "configuration", watch::watch::<Configuration>);
     spawn(&router, "upstreams", watch::watch::<Upstream>);
+    spawn(&router, "eras of the store", watch::follow_eras);
     let peers = Arc::new(peers);
     spawn(&router, "fetches of others", move |router| {
         fetches::serve(router, peers.clone())
--- a/router/src/watch.rs
+++ b/router/src/watch.rs
@@ -6,7 +6,7 @@
 use almondwell_core::watch::Watch;
 use almondwell_platform::Error;
 use almondwell_platform::decode::Configuration;
-use almondwell_platform::store::{Changes, Cursor, Event, Item, Kind, Record, Revision};
+use almondwell_platform::store::{Changes, Cursor, Event, Item, Kind, Position, Record};
 use async_std::task;
 use rand::Rng;
 use std::sync::Arc;
@@ -36,8 +36,8 @@
     /// Applies a response of the store to a call that started at `start`.
     fn apply(router: &Router, start: Duration, changes: Changes<Self>);
 
-    /// Records that all changes up to `revision` have been applied.
-    fn record_current(router: &Router, revision: Option<Revision>);
+    /// Records that all changes up to `position` have been applied.
+    fn record_current(router: &Router, position: Option<Position>);
 
     /// Records that the store cannot be reached.
     fn record_outage(router: &Router);
@@ -52,7 +52,7 @@
     loop {
         let start = router.now();
         let limits = watch.limits(start);
-        let previous = cursor.revision();
+        let previous = cursor.position();
         match router.store.changes::<F>(kind, &mut cursor, limits).await {
             Ok(changes) => {
                 failures = 0;
@@ -63,7 +63,7 @@
                 if is_part {
                     F::record_outage(&router);
                 } else if cursor.is_complete() {
-                    F::record_current(&router, cursor.revision());
+                    F::record_current(&router, cursor.position());
                 }
                 if has_changed {
                     task::sleep(BATCH_DELAY).await;
@@ -89,12 +89,12 @@
 }
 
 /// Whether `changes` holds changes from a watch, as opposed to a full list.
-fn is_change<R>(kind: Kind, previous: Option<Revision>, changes: &Changes<R>) -> bool {
+fn is_change<R>(kind: Kind, previous: Option<Position>, changes: &Changes<R>) -> bool {
     match changes {
         Changes::All(_) | Changes::Part(_) => {
-            if let Some(revision) = previous {
+            if let Some(Position { era, revision }) = previous {
                 spdlog::info!("objects were listed again", kv: {
-                    kind = format!("{kind:?}"), revision
+                    kind = format!("{kind:?}"), era, revision
                 });
             }
             false
@@ -125,7 +125,7 @@
         }
     }
 
-    fn record_current(router: &Router, _revision: Option<Revision>) {
+    fn record_current(router: &Router, _position: Option<Position>) {
         router.confirm_configuration();
     }
 
@@ -158,9 +158,9 @@
         });
     }
 
-    fn record_current(router: &Router, revision: Option<Revision>) {
-        if let Some(revision) = revision {
-            router.record_list(revision);
+    fn record_current(router: &Router, position: Option<Position>) {
+        if let Some(position) = position {
+            router.record_list(position);
         }
     }
 
@@ -261,6 +261,24 @@
     }
 }
 
+/// Logs and counts new eras of the store, forever.
+pub(crate) async fn follow_eras(router: Arc<Router>) {
+    let mut known = router.store.era();
+    loop {
+        let era = router.store.era_after(known).await;
+        // The first era that the store names replaces none.
+        if known > 0 {
+            let list = router.position();
+            spdlog::warn!("store began a new era", kv: {
+                previous = known, era, table = router.table().map_or(0, |table| table.version),
+                list_era = list.era, list_revision = list.revision
+            });
+            router.metrics.store_eras.inc();
+        }
+        known = era;
+    }
+}
+
 /// Removes upstreams whose delayed removal is due, and closes stale connections, forever.
 pub(crate) async fn expire(router: Arc<Router>) {
     loop {
--- a/schema/src/generated.rs
+++ b/schema/src/generated.rs
@@ -262,7 +262,7 @@
     pub control: SocketAddr,
     /// Version of the active routes; 0 for none.
     pub version: Version,
-    /// Store revision up to which the entry knows the upstreams.
+    /// Position in the store up to which the entry knows the upstreams: the era in the upper 24 bits, the revision in the lower 40. Equals the revision for a store that names no era.
     pub revision: u64,
     pub shares: Vec<Share>,
     /// Control addresses of some other entries.
@@ -640,7 +640,7 @@
     /// Routes as stored; empty if the requesting entry holds this version.
     #[serde(with = "serde_bytes")]
     pub table: Vec<u8>,
-    /// Store revision up to which the upstreams are known.
+    /// Position in the store up to which the upstreams are known, as in a digest.
     pub revision: u64,
     pub upstreams: Vec<Registration>,
 }
