Announce a list again once a delayed removal is final

An entry without the store kept an upstream that had left for good (peers::fetches_a_removal_from_another_entry: it got requests 6 s after its removal; red on with the test, before eras too by the same code).

Cause: entries that reach the store delay a removal and list the upstream meanwhile, but announce the list under the revision of the removal. Whoever fetched it then has that revision, and does not fetch it when the removal is final. Change: while removals are delayed, a list is announced and sent under the revision before its own.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -216,6 +216,11 @@
         due
     }
 
+    /// Whether no removal is delayed.
+    pub fn is_settled(&self) -> bool {
+        self.held_until.is_empty()
+    }
+
     /// Whether the store has removed the upstream, so that another entry may list it by mistake.
     fn is_removed(&self, now: Duration, id: &str) -> bool {
         let is_recent = |at: &Duration| now.saturating_sub(*at) < self.options.peer_delay;
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -61,6 +61,20 @@
     assert_eq!(ready(&fleet), ["i-b"]);
 }
 
+/// Guards against a list that other entries take for final while it holds an upstream that was removed.
+#[test]
+fn a_fleet_is_settled_once_no_removal_is_delayed() {
+    let mut fleet = fleet(&["i-a", "i-b"]);
+    assert!(fleet.is_settled());
+    fleet.remove(at(0), "i-a");
+    assert!(!fleet.is_settled());
+    fleet.expire(at(2000));
+    assert!(fleet.is_settled());
+    fleet.remove(at(3000), "i-b");
+    fleet.put(upstream("i-b", State::Ready));
+    assert!(fleet.is_settled());
+}
+
 #[test]
 fn upstreams_that_expire_in_an_unnoticed_outage_are_kept() {
     let mut fleet = fleet(&["i-a", "i-b"]);
--- a/router/src/fetches.rs
+++ b/router/src/fetches.rs
@@ -226,7 +226,7 @@
     let held = Held {
         version,
         table: newer.map_or_else(Vec::new, |active| active.raw.clone()),
-        revision: router.position().pack(),
+        revision: router.offered_position().pack(),
         upstreams: router.upstreams().into_iter().map(registration).collect(),
     };
     connection
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -153,7 +153,7 @@
         entry: router.settings.id.clone(),
         control: router.settings.control,
         version: router.table().map_or(0, |table| table.version),
-        revision: router.position().pack(),
+        revision: router.offered_position().pack(),
         shares: router.services.shares(now),
         peers: lock_peers(router).hints(|below| rand::rng().random_range(0..below)),
         suspects: sample(crash::fatal_requests(router)).collect(),
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -209,6 +209,17 @@
         *self.lock_position()
     }
 
+    /// Position of the list that is offered to other entries. While removals are delayed it comes before that of the store, so
+    /// that entries which fetch the list fetch it once more.
+    pub(crate) fn offered_position(&self) -> Position {
+        let Position { era, revision } = self.position();
+        let is_settled = self.lock_fleet().is_settled();
+        Position {
+            era,
+            revision: revision.saturating_sub(u64::from(!is_settled)),
+        }
+    }
+
     pub(crate) fn set_position(&self, position: Position) {
         let mut known = self.lock_position();
         *known = position.max(*known);
