Keep upstreams that a store's older copy lacks

Cause: the delay of a removal counts from the last answer of the store, and a watch may have waited for longer than that. Change: the first list of a new era counts as the end of an outage, so that what it lacks is kept for 2 s.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -96,6 +96,11 @@
         self.recovery_until = now + self.options.outage_recovery;
     }
 
+    /// Records that the store came back at `now` from an older copy, which may lack registrations of live upstreams.
+    pub fn record_era(&mut self, now: Duration) {
+        self.record_outage(now);
+    }
+
     /// Records that the registrations of the moment `at` are known.
     pub fn confirm(&mut self, at: Duration) {
         self.known_at = self.known_at.max(Some(at));
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -243,3 +243,19 @@
     let changes = fleet.replace(at(5000), Source::Store, list());
     assert_eq!(changes, [("i-a".into(), Change::Added)]);
 }
+
+/// Guards against a copy of the store that removes live upstreams at once, where the last answer is longer ago than a removal
+/// is delayed.
+#[test]
+fn upstreams_that_a_list_of_a_new_era_lacks_are_held() {
+    let mut fleet = fleet(&["i-a", "i-b"]);
+    fleet.confirm(at(0));
+    fleet.record_era(at(2400));
+    let listed = vec![upstream("i-b", State::Ready)];
+    let changes = fleet.replace(at(2400), Source::Store, listed);
+    assert_eq!(changes, [("i-a".into(), Change::Held)]);
+    fleet.expire(at(4300));
+    assert_eq!(ready(&fleet), ["i-a", "i-b"]);
+    fleet.expire(at(4400));
+    assert_eq!(ready(&fleet), ["i-b"]);
+}
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -286,6 +286,12 @@
         self.lock_fleet().record_outage(now);
     }
 
+    /// Records that the list of upstreams is about to be replaced by that of a new era.
+    pub(crate) fn record_era(&self) {
+        let now = self.now();
+        self.lock_fleet().record_era(now);
+    }
+
     fn publish(&self, fleet: &Fleet) {
         let mut backends = self.backends.lock().unwrap_or_else(PoisonError::into_inner);
         backends.retain(|id, backend| {
--- a/router/src/watch.rs
+++ b/router/src/watch.rs
@@ -39,6 +39,9 @@
     /// Records that all changes up to `position` have been applied.
     fn record_current(router: &Router, position: Option<Position>);
 
+    /// Records that the next changes are those of a store that came back from an older copy.
+    fn record_era(router: &Router);
+
     /// Records that the store cannot be reached.
     fn record_outage(router: &Router);
 }
@@ -49,6 +52,8 @@
     let mut failures = 0;
     let mut watch = Watch::new(router.settings.contact);
     let mut cursor = Cursor::START;
+    // Of the last answer that was applied; a list that fails leaves the cursor without one.
+    let mut known_era = None;
     loop {
         let start = router.now();
         let limits = watch.limits(start);
@@ -58,6 +63,11 @@
                 failures = 0;
                 watch.record_answer(router.now(), start, limits);
                 let has_changed = is_change(kind, previous, &changes);
+                if let Some(Position { era, .. }) = cursor.position()
+                    && known_era.replace(era).is_some_and(|known| known != era)
+                {
+                    F::record_era(&router);
+                }
                 let is_part = matches!(changes, Changes::Part(_));
                 F::apply(&router, start, changes);
                 if is_part {
@@ -129,6 +139,9 @@
         router.confirm_configuration();
     }
 
+    /// A configuration of the copy is older than the active one, which stays.
+    fn record_era(_router: &Router) {}
+
     fn record_outage(router: &Router) {
         router.set_current(false);
     }
@@ -164,6 +177,10 @@
         }
     }
 
+    fn record_era(router: &Router) {
+        router.record_era();
+    }
+
     fn record_outage(router: &Router) {
         router.record_outage();
     }
