--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -61,6 +61,20 @@
     assert_eq!(ready(&fleet), ["i-b"]);
 }
 
+/// Guards against a list that other entries take for final while it holds an upstream that was removed.
+#[test]
+fn a_fleet_is_settled_once_no_removal_is_delayed() {
+    let mut fleet = fleet(&["i-a", "i-b"]);
+    assert!(fleet.is_settled());
+    fleet.remove(at(0), "i-a");
+    assert!(!fleet.is_settled());
+    fleet.expire(at(2000));
+    assert!(fleet.is_settled());
+    fleet.remove(at(3000), "i-b");
+    fleet.put(upstream("i-b", State::Ready));
+    assert!(fleet.is_settled());
+}
+
 #[test]
 fn upstreams_that_expire_in_an_unnoticed_outage_are_kept() {
     let mut fleet = fleet(&["i-a", "i-b"]);
@@ -229,3 +243,19 @@
     let changes = fleet.replace(at(5000), Source::Store, list());
     assert_eq!(changes, [("i-a".into(), Change::Added)]);
 }
+
+/// Guards against a copy of the store that removes live upstreams at once, where the last answer is longer ago than a removal
+/// is delayed.
+#[test]
+fn upstreams_that_a_list_of_a_new_era_lacks_are_held() {
+    let mut fleet = fleet(&["i-a", "i-b"]);
+    fleet.confirm(at(0));
+    fleet.record_era(at(2400));
+    let listed = vec![upstream("i-b", State::Ready)];
+    let changes = fleet.replace(at(2400), Source::Store, listed);
+    assert_eq!(changes, [("i-a".into(), Change::Held)]);
+    fleet.expire(at(4300));
+    assert_eq!(ready(&fleet), ["i-a", "i-b"]);
+    fleet.expire(at(4400));
+    assert_eq!(ready(&fleet), ["i-b"]);
+}
--- a/router/src/version_objects.rs
+++ b/router/src/version_objects.rs
@@ -6,7 +6,7 @@
 use almondwell_core::streams::Origin;
 use almondwell_core::upstream::Upstream;
 use almondwell_core::watch::Limits;
-use almondwell_platform::store::{Changes, Cursor, Event, Kind};
+use almondwell_platform::store::{Changes, Cursor, Event, Kind, Position};
 use almondwell_platform::{Error, Expect, Written};
 use almondwell_schema::{StreamOrigin, StreamVersions, Version};
 use async_std::task;
@@ -105,9 +105,11 @@
 
 /// Reads the versions of the registrations that this entry does not follow yet.
 async fn read_unfollowed(router: &Router) -> Result<BTreeSet<Origin>, Error> {
-    let mut cursor = match router.revision() {
-        0 => Cursor::START,
-        revision => Cursor::after(revision),
+    let position = router.position();
+    let mut cursor = if position == Position::default() {
+        Cursor::START
+    } else {
+        Cursor::after(position)
     };
     let changes = router
         .store
