Record a rejected version before an unreadable one is forgotten

Cause: when the store's object changed from one whose version cannot be read to one that is rejected with its version, the first was forgotten before the second was recorded. In between the router called its configuration current. Change: the order is the other way round. No test: the time between two stores of atomics can't be hit from outside.

--- a/router/src/watch.rs
+++ b/router/src/watch.rs
@@ -273,10 +273,10 @@
             router.record_versioned();
         }
         Err(rejection) => {
+            router.reject(&rejection, "store", revision);
             if rejection.version.is_some() {
                 router.record_versioned();
             }
-            router.reject(&rejection, "store", revision);
         }
     }
 }
