Watch briefly after a pause between two watches

Cause: after a change, a router opens no watch for 0.4 s. If the store drops the history in that time, no watch of the router breaks. The next one waits 2.5 s for changes that it can no longer report; where its 410 comes only at the end, the router lists up to 2.9 s after the confirmation, 2.5 s being allowed. All routers that read the change before are behind together, at the same version and with `is_current: true`, since every answer of the store was in time. Change: the first watch after such a pause waits 1 s, as those after a failure do. It costs one call more after a change.

--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -14,8 +14,8 @@
 const GRACE: Duration = Duration::from_millis(500);
 /// Grace for a store whose last answers were late or missing. With the usual one, each call to a slow store would fail.
 const LONG_GRACE: Duration = Duration::from_millis(1500);
-/// Longest wait for some time after a failure: a failing store may not report changes to watches, and two such watches
-/// fit into the time within which a change has to take effect.
+/// Longest wait for some time after a failure, and after a pause: a change that a watch can no longer report may show only
+/// when its wait ends, and two such watches fit into the time within which a change has to take effect.
 const RECOVERY_WAIT: Duration = Duration::from_secs(1);
 /// Shortest wait, for settings with a very small `contact`.
 const MIN_WAIT: Duration = Duration::from_millis(250);
@@ -33,6 +33,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Watch {
     contact: Duration,
+    is_paused: bool,
     last_failure: Option<Duration>,
     last_late_answer: Option<Duration>,
 }
@@ -42,6 +43,7 @@
     pub const fn new(contact: Duration) -> Self {
         Self {
             contact,
+            is_paused: false,
             last_failure: None,
             last_late_answer: None,
         }
@@ -58,7 +60,7 @@
             GRACE
         };
         let longest = self.contact.saturating_sub(RESERVE + CALL + grace);
-        let wait = if has_failed {
+        let wait = if has_failed || self.is_paused {
             longest.min(RECOVERY_WAIT)
         } else {
             longest
@@ -71,11 +73,17 @@
 
     /// Records that a watch with `limits`, started at `start`, was answered at `now`.
     pub fn record_answer(&mut self, now: Duration, start: Duration, limits: Limits) {
+        self.is_paused = false;
         if now.saturating_sub(start) > limits.wait + GRACE / 2 {
             self.last_late_answer = Some(now);
         }
     }
 
+    /// Records that no watch was open for some time after the last one.
+    pub const fn record_pause(&mut self) {
+        self.is_paused = true;
+    }
+
     /// Records that a watch failed at `now`.
     pub const fn record_failure(&mut self, now: Duration) {
         self.last_failure = Some(now);
--- a/core/tests/watch.rs
+++ b/core/tests/watch.rs
@@ -17,6 +17,7 @@
     Failure(u64),
     LateAnswer(u64),
     None,
+    Pause,
 }
 
 fn watch(contact: u64, past: Past) -> Watch {
@@ -30,6 +31,7 @@
             watch.record_answer(end, start, limits);
         }
         Past::None => {}
+        Past::Pause => watch.record_pause(),
     }
     watch
 }
@@ -53,10 +55,21 @@
     waits_long_with_another_contact: 6000, Past::None, 0 => 4500, 500;
     waits_briefly_after_a_failure: 4000, Past::Failure(1000), 4900 => 1000, 1500;
     waits_long_again_after_contact: 4000, Past::Failure(1000), 5000 => 2500, 500;
+    waits_briefly_after_a_pause: 4000, Past::Pause, 0 => 1000, 500;
     gives_a_slow_store_more_time: 4000, Past::LateAnswer(1000), 4000 => 1500, 1500;
     gives_a_fast_store_less_time_again: 4000, Past::LateAnswer(1000), 8000 => 2500, 500;
 }
 
+/// Guards against short waits that go on, each of them a call, when no change follows the one before the pause.
+#[test]
+fn a_watch_after_a_pause_is_followed_by_long_ones() {
+    let mut watch = Watch::new(at(4000));
+    watch.record_pause();
+    let limits = watch.limits(at(0));
+    watch.record_answer(limits.wait, at(0), limits);
+    assert_eq!(watch.limits(limits.wait).wait, at(2500));
+}
+
 /// Guards against a slow store whose answers all arrive after the limit.
 #[test]
 fn a_store_that_answers_slowly_is_followed() {
--- a/router/src/watch.rs
+++ b/router/src/watch.rs
@@ -67,6 +67,7 @@
                 }
                 if has_changed {
                     task::sleep(BATCH_DELAY).await;
+                    watch.record_pause();
                 }
             }
             Err(error) => {
