Ask the store at once after a watch that broke

Cause: after a watch broke, the next one waited 1 s for changes that it may no longer report. While the store drops its history with each of several changes, that one breaks too before it shows so. From the second break on a router counts the store as unreachable and backs off by up to 1 s. So it holds an old version until 2 s after the last change of the burst, however old the first one is. Change: the first call after a failure, and after a pause between watches, has no wait: the store answers at once what was missed, or that the history is gone. Then waits are as before. A call without a wait is overdue after its grace; with the wait as its limit, one failure after a pause would count as an outage. The cases of waits after a failure have an answer in between now, and new ones check the call before it.

--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -14,8 +14,8 @@
 const GRACE: Duration = Duration::from_millis(500);
 /// Grace for a store whose last answers were late or missing. With the usual one, each call to a slow store would fail.
 const LONG_GRACE: Duration = Duration::from_millis(1500);
-/// Longest wait for some time after a failure, and after a pause: a change that a watch can no longer report may show only
-/// when its wait ends, and two such watches fit into the time within which a change has to take effect.
+/// Longest wait for some time after a failure: a failing store may not report changes to watches, and two such watches
+/// fit into the time within which a change has to take effect.
 const RECOVERY_WAIT: Duration = Duration::from_secs(1);
 /// Shortest wait, for settings with a very small `contact`.
 const MIN_WAIT: Duration = Duration::from_millis(250);
@@ -33,7 +33,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Watch {
     contact: Duration,
-    is_paused: bool,
+    /// Whether changes may have been missed that a watch can no longer report: it may show that only when its wait ends.
+    is_unsure: bool,
     last_failure: Option<Duration>,
     last_late_answer: Option<Duration>,
 }
@@ -43,7 +44,7 @@
     pub const fn new(contact: Duration) -> Self {
         Self {
             contact,
-            is_paused: false,
+            is_unsure: false,
             last_failure: None,
             last_late_answer: None,
         }
@@ -60,20 +61,22 @@
             GRACE
         };
         let longest = self.contact.saturating_sub(RESERVE + CALL + grace);
-        let wait = if has_failed || self.is_paused {
+        let wait = if has_failed {
             longest.min(RECOVERY_WAIT)
         } else {
             longest
         };
-        Limits {
-            grace,
-            wait: wait.max(MIN_WAIT),
-        }
+        let wait = if self.is_unsure {
+            Duration::ZERO
+        } else {
+            wait.max(MIN_WAIT)
+        };
+        Limits { grace, wait }
     }
 
     /// Records that a watch with `limits`, started at `start`, was answered at `now`.
     pub fn record_answer(&mut self, now: Duration, start: Duration, limits: Limits) {
-        self.is_paused = false;
+        self.is_unsure = false;
         if now.saturating_sub(start) > limits.wait + GRACE / 2 {
             self.last_late_answer = Some(now);
         }
@@ -81,11 +84,12 @@
 
     /// Records that no watch was open for some time after the last one.
     pub const fn record_pause(&mut self) {
-        self.is_paused = true;
+        self.is_unsure = true;
     }
 
     /// Records that a watch failed at `now`.
     pub const fn record_failure(&mut self, now: Duration) {
+        self.is_unsure = true;
         self.last_failure = Some(now);
     }
 }
--- a/core/tests/watch.rs
+++ b/core/tests/watch.rs
@@ -14,6 +14,7 @@
 /// What happened to earlier watches.
 #[derive(Clone, Copy)]
 enum Past {
+    Answered(u64),
     Failure(u64),
     LateAnswer(u64),
     None,
@@ -23,6 +24,11 @@
 fn watch(contact: u64, past: Past) -> Watch {
     let mut watch = Watch::new(at(contact));
     match past {
+        Past::Answered(time) => {
+            watch.record_failure(at(time));
+            let limits = watch.limits(at(time));
+            watch.record_answer(at(time), at(time), limits);
+        }
         Past::Failure(time) => watch.record_failure(at(time)),
         Past::LateAnswer(time) => {
             let start = at(time);
@@ -53,14 +59,15 @@
 cases! {
     waits_long_at_the_start: 4000, Past::None, 0 => 2500, 500;
     waits_long_with_another_contact: 6000, Past::None, 0 => 4500, 500;
-    waits_briefly_after_a_failure: 4000, Past::Failure(1000), 4900 => 1000, 1500;
-    waits_long_again_after_contact: 4000, Past::Failure(1000), 5000 => 2500, 500;
-    waits_briefly_after_a_pause: 4000, Past::Pause, 0 => 1000, 500;
+    asks_at_once_after_a_failure: 4000, Past::Failure(1000), 4900 => 0, 1500;
+    asks_at_once_after_a_pause: 4000, Past::Pause, 0 => 0, 500;
+    waits_briefly_after_a_failure: 4000, Past::Answered(1000), 4900 => 1000, 1500;
+    waits_long_again_after_contact: 4000, Past::Answered(1000), 5000 => 2500, 500;
     gives_a_slow_store_more_time: 4000, Past::LateAnswer(1000), 4000 => 1500, 1500;
     gives_a_fast_store_less_time_again: 4000, Past::LateAnswer(1000), 8000 => 2500, 500;
 }
 
-/// Guards against short waits that go on, each of them a call, when no change follows the one before the pause.
+/// Guards against calls without a wait that go on, when no change follows the one before the pause.
 #[test]
 fn a_watch_after_a_pause_is_followed_by_long_ones() {
     let mut watch = Watch::new(at(4000));
--- a/router/src/watch.rs
+++ b/router/src/watch.rs
@@ -74,7 +74,12 @@
                 failures += 1;
                 let now = router.now();
                 watch.record_failure(now);
-                let is_overdue = now.saturating_sub(start) > limits.wait;
+                let silence = if limits.wait.is_zero() {
+                    limits.grace
+                } else {
+                    limits.wait
+                };
+                let is_overdue = now.saturating_sub(start) > silence;
                 if failures >= OUTAGE_FAILURES || is_overdue || matches!(error, Error::Down(_)) {
                     F::record_outage(&router);
                     spdlog::debug!("store request failed", kv: {
