--- a/core/src/watch.rs
+++ b/core/src/watch.rs
@@ -50,6 +50,8 @@
 /// Watches of one kind of objects, one after the other.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Watch {
+    /// Whether changes may have been missed that a watch can no longer report: it may show that only when its wait ends.
+    is_unsure: bool,
     last_failure: Option<Duration>,
     /// Last late or missing answer without an answer in time since.
     last_late_answer: Option<Duration>,
@@ -86,20 +88,29 @@
         } else {
             longest
         };
-        Limits {
-            grace,
-            wait: wait.max(MIN_WAIT),
-        }
+        let wait = if self.is_unsure {
+            Duration::ZERO
+        } else {
+            wait.max(MIN_WAIT)
+        };
+        Limits { grace, wait }
     }
 
     /// Records that a watch with `limits`, started at `start`, was answered at `now`.
     pub fn record_answer(&mut self, now: Duration, start: Duration, limits: Limits) {
+        self.is_unsure = false;
         let is_late = now.saturating_sub(start) > limits.wait + GRACE / 2;
         self.last_late_answer = is_late.then_some(now);
     }
 
+    /// Records that no watch was open for some time after the last one.
+    pub const fn record_pause(&mut self) {
+        self.is_unsure = true;
+    }
+
     /// Records that a watch failed at `now`.
     pub const fn record_failure(&mut self, now: Duration) {
+        self.is_unsure = true;
         self.last_failure = Some(now);
         self.last_late_answer = Some(now);
     }
