Keep the look-up of a stream's origin out of each connection's future

Since a look-up also reads registrations, so that the future of admission grew from 5,120 to 10,816 bytes; each connection holds it, 570 here. Change: the look-up, which few requests need, is boxed.

--- a/router/src/continuation.rs
+++ b/router/src/continuation.rs
@@ -70,9 +70,10 @@
     if !route.is_stream || request.job.last_event.is_none() {
         return Continuation::None;
     }
+    // Boxed, since its calls of the store would otherwise take memory in the future of every connection.
     let found = timeout(
         LOOKUP_TIMEOUT,
-        look_up(router, request.job.resumes.as_deref()),
+        Box::pin(look_up(router, request.job.resumes.as_deref())),
     )
     .await;
     let (continuation, source) = found.unwrap_or((Continuation::Unknown, "timeout"));
